--- /dev/null
+++ b/claims/results.go
@@ -0,0 +1,54 @@
+package claims
+
+import (
+	"example.org/comfreyrouter/errkind"
+)
+
+// Result is what became of a request.
+type Result struct {
+	Outcome errkind.Outcome
+	Kind    errkind.Kind // empty for Done
+	Message string
+	Body    []byte
+}
+
+// Results keeps the results of finished requests for callers that ask again, within a bound on bytes. The oldest go first.
+type Results struct {
+	maxBytes int
+	bytes    int
+	byID     map[string]Result
+	order    []string
+}
+
+// resultOverhead is the memory that a kept result takes besides its body, in bytes, rounded up.
+const resultOverhead = 256
+
+// NewResults returns a store that keeps up to maxBytes of results.
+func NewResults(maxBytes int) *Results {
+	return &Results{maxBytes: maxBytes, byID: map[string]Result{}}
+}
+
+// Put keeps a result under a team's request id. A result that was kept before stays.
+func (r *Results) Put(team, requestID string, result Result) {
+	key := resultKey(team, requestID)
+	if _, ok := r.byID[key]; ok {
+		return
+	}
+	r.byID[key] = result
+	r.order = append(r.order, key)
+	r.bytes += len(result.Body) + resultOverhead
+	for r.bytes > r.maxBytes && len(r.order) > 0 {
+		oldest := r.order[0]
+		r.order = r.order[1:]
+		r.bytes -= len(r.byID[oldest].Body) + resultOverhead
+		delete(r.byID, oldest)
+	}
+}
+
+// Get returns the result of a team's request id.
+func (r *Results) Get(team, requestID string) (Result, bool) {
+	result, ok := r.byID[resultKey(team, requestID)]
+	return result, ok
+}
+
+func resultKey(team, requestID string) string { return team + "/" + requestID }
--- /dev/null
+++ b/fleet/apply_config.go
@@ -0,0 +1,173 @@
+package fleet
+
+import (
+	"strings"
+
+	"example.org/comfreyrouter/errkind"
+)
+
+// maxConfigured is the number of results of Configure commands that are remembered for repeats. At 1,000 changes a day it
+// covers four days.
+const maxConfigured = 4096
+
+// Configured remembers the results of the last Configure commands, oldest first.
+type Configured struct {
+	ByID  map[string]Result `json:"by_id"`
+	Order []string          `json:"order,omitempty"`
+}
+
+func (c *Configured) add(id string, r Result) {
+	if len(c.Order) >= maxConfigured {
+		delete(c.ByID, c.Order[0])
+		c.Order = c.Order[1:]
+	}
+	c.ByID[id] = r
+	c.Order = append(c.Order, id)
+}
+
+// configure applies all changes of c, or none. Only accepted results are remembered: a conflict may be repeated with the
+// same id and gives a conflict again.
+func (s *State) configure(c *Configure) Result {
+	if c.ID == "" {
+		return reject(errkind.BadRequest, "a change needs an id")
+	}
+	if r, ok := s.Configured.ByID[c.ID]; ok {
+		return r
+	}
+	if c.Expect == 0 && !onlyWithdrawals(c.Changes) && s.Config.Version > 0 {
+		return reject(errkind.BadRequest, "a change other than a withdrawal needs the version it was made for")
+	}
+	if c.Expect != 0 && c.Expect != s.Config.Version {
+		r := reject(errkind.VersionConflict, "the change was made for version %d, but version %d is in force", c.Expect, s.Config.Version)
+		r.Version = s.Config.Version
+		return r
+	}
+	next := s.Config.Clone()
+	for _, change := range c.Changes {
+		if r := s.change(next, change); !r.OK() {
+			return r
+		}
+	}
+	if problems := next.Validate(); len(problems) > 0 {
+		return reject(errkind.InvalidConfig, "%s", joinProblems(problems))
+	}
+	next.Version++
+	s.Config = next
+	s.syncVMs()
+	r := Result{Version: next.Version}
+	s.Configured.add(c.ID, r)
+	return r
+}
+
+func onlyWithdrawals(changes []Change) bool {
+	for _, c := range changes {
+		if c.Withdraw == nil {
+			return false
+		}
+	}
+	return len(changes) > 0
+}
+
+func joinProblems(problems []Problem) string {
+	lines := make([]string, len(problems))
+	for i, p := range problems {
+		lines[i] = p.String()
+	}
+	return strings.Join(lines, "; ")
+}
+
+func (s *State) change(next *Config, c Change) Result {
+	switch {
+	case c.InForce != nil:
+		if _, ok := next.Presets[*c.InForce]; !ok {
+			return reject(errkind.NotFound, "preset %q does not exist", *c.InForce)
+		}
+		next.InForce = *c.InForce
+	case c.GiveKey != nil:
+		return giveKey(next, c.GiveKey)
+	case c.Withdraw != nil:
+		return withdrawKey(next, *c.Withdraw)
+	case c.Preset != nil:
+		set(next.Presets, c.Preset)
+	case c.Team != nil:
+		set(next.Teams, c.Team)
+	case c.Queue != nil:
+		set(next.Queues, c.Queue)
+	case c.Pool != nil:
+		set(next.Pools, c.Pool)
+	case c.Service != nil:
+		set(next.Services, c.Service)
+	case c.Centre != nil:
+		set(next.Centres, c.Centre)
+	case c.Rack != nil:
+		set(next.Racks, c.Rack)
+	case c.Server != nil:
+		return s.setServer(next, c.Server)
+	case c.EntryVM != nil:
+		set(next.EntryVMs, c.EntryVM)
+	case c.Policy != nil:
+		next.Policy = *c.Policy
+	default:
+		return reject(errkind.BadRequest, "the change is empty or of an unknown type")
+	}
+	return Result{}
+}
+
+func set[T any](m map[string]T, o *Object[T]) {
+	if o.Value == nil {
+		delete(m, o.Name)
+		return
+	}
+	m[o.Name] = *o.Value
+}
+
+// giveKey adds a key. A withdrawn key never comes back: its id stays taken.
+func giveKey(next *Config, o *Object[Key]) Result {
+	if o.Value == nil {
+		return reject(errkind.BadRequest, "key %q is withdrawn, not deleted", o.Name)
+	}
+	if _, ok := next.Keys[o.Name]; ok {
+		return reject(errkind.InvalidConfig, "key %q exists already", o.Name)
+	}
+	next.Keys[o.Name] = Key{Team: o.Value.Team, Hash: o.Value.Hash}
+	return Result{}
+}
+
+// withdrawKey marks a key as withdrawn. It is idempotent.
+func withdrawKey(next *Config, id string) Result {
+	k, ok := next.Keys[id]
+	if !ok {
+		return reject(errkind.NotFound, "key %q does not exist", id)
+	}
+	k.Withdrawn = true
+	next.Keys[id] = k
+	return Result{}
+}
+
+// setServer changes a declaration of a backend server. A new VM enters its declared pool; the pool of a VM that the
+// fold knows changes by a move only, because it may be running tasks.
+func (s *State) setServer(next *Config, o *Object[BackendServer]) Result {
+	if o.Value == nil {
+		if vm, ok := s.VMs[o.Name]; ok && vm.Available() {
+			if r := s.checkBudgets(next, o.Name); !r.OK() {
+				return r
+			}
+		}
+	}
+	set(next.Servers, o)
+	return Result{}
+}
+
+// syncVMs gives each newly declared backend server a VM in its declared pool and drops the VMs that are no longer declared.
+func (s *State) syncVMs() {
+	for name, server := range s.Config.Servers {
+		if _, ok := s.VMs[name]; !ok {
+			s.VMs[name] = VM{Pool: server.Pool, Phase: Serving, Epoch: s.Offset}
+		}
+	}
+	for name := range s.VMs {
+		if _, ok := s.Config.Servers[name]; !ok {
+			delete(s.VMs, name)
+		}
+	}
+}
--- /dev/null
+++ b/fleet/apply_members.go
@@ -0,0 +1,121 @@
+package fleet
+
+import "example.org/comfreyrouter/errkind"
+
+// maxIssuers is the number of ended issuers whose ids are remembered. At 79 replacements a day it covers three days.
+const maxIssuers = 256
+
+// Issuers remembers, for issuers that left after a graceful shutdown, the outcomes of the ids that may have run.
+type Issuers struct {
+	ByID  map[string]map[string]errkind.Outcome `json:"by_id"`
+	Order []string                              `json:"order,omitempty"`
+}
+
+func (i *Issuers) add(incarnation string, outcomes map[string]errkind.Outcome) {
+	if len(i.Order) >= maxIssuers {
+		delete(i.ByID, i.Order[0])
+		i.Order = i.Order[1:]
+	}
+	if outcomes == nil {
+		outcomes = map[string]errkind.Outcome{}
+	}
+	i.ByID[incarnation] = outcomes
+	i.Order = append(i.Order, incarnation)
+}
+
+// join adds the writer as a member and fences earlier incarnations of its VM. Incarnations are ULIDs, so a
+// join that was delayed past its successor's is recognised by its order and rejected.
+func (s *State) join(writer string, seq uint64, c *Join) Result {
+	if _, ok := s.Members[writer]; ok {
+		return Result{}
+	}
+	if last := s.LastIncarnation[c.VM]; writer <= last {
+		return reject(errkind.Fenced, "VM %q has already joined as %s", c.VM, last)
+	}
+	for id, m := range s.Members {
+		if m.VM == c.VM {
+			m.Fenced = true
+			s.Members[id] = m
+		}
+	}
+	s.LastIncarnation[c.VM] = writer
+	s.Members[writer] = Member{
+		VM:            c.VM,
+		DataCentre:    c.DataCentre,
+		PeerAddress:   c.PeerAddress,
+		CallerAddress: c.CallerAddress,
+		Fence:         s.Offset,
+		LeaseSeq:      1,
+		LastSeq:       seq,
+	}
+	s.grantFirm(writer)
+	return Result{}
+}
+
+func (s *State) renew(writer string) Result {
+	m := s.Members[writer]
+	m.LeaseSeq++
+	s.Members[writer] = m
+	s.grantFirm(writer)
+	return Result{}
+}
+
+// leave removes the writer. It runs nothing any more, so its grants are free at once.
+func (s *State) leave(writer string, c *Leave) Result {
+	s.Issuers.add(writer, c.Issued)
+	s.removeMember(writer)
+	return Result{}
+}
+
+func (s *State) fence(c *Fence) Result {
+	m, ok := s.Members[c.Incarnation]
+	if !ok {
+		return Result{}
+	}
+	m.Fenced = true
+	s.Members[c.Incarnation] = m
+	return Result{}
+}
+
+// expire takes the leased grants from a member. The sequence check makes the holder's renewal and the expiry exclude each
+// other: whichever comes first in the log wins.
+func (s *State) expire(c *Expire) Result {
+	m, ok := s.Members[c.Incarnation]
+	if !ok {
+		return Result{}
+	}
+	if m.LeaseSeq != c.LeaseSeq {
+		return reject(errkind.VersionConflict, "the lease of %s was renewed", c.Incarnation)
+	}
+	m.LeaseSeq++
+	s.Members[c.Incarnation] = m
+	for team, holders := range s.Grants {
+		g, ok := holders[c.Incarnation]
+		if !ok {
+			continue
+		}
+		g.Leased, g.Want = 0, 0
+		s.setGrant(team, c.Incarnation, g)
+	}
+	return Result{}
+}
+
+// release frees all grants of a fenced incarnation and forgets it.
+func (s *State) release(c *Release) Result {
+	m, ok := s.Members[c.Incarnation]
+	if !ok {
+		return Result{}
+	}
+	if !m.Fenced {
+		return reject(errkind.VersionConflict, "incarnation %s is not fenced", c.Incarnation)
+	}
+	s.removeMember(c.Incarnation)
+	return Result{}
+}
+
+func (s *State) removeMember(incarnation string) {
+	delete(s.Members, incarnation)
+	for team := range s.Grants {
+		s.setGrant(team, incarnation, Grant{})
+	}
+}
--- /dev/null
+++ b/fleet/apply_vms.go
@@ -0,0 +1,191 @@
+package fleet
+
+import "example.org/comfreyrouter/errkind"
+
+// checkBudgets reports whether the VM may become unavailable: no budget of its pool, service, rack and data centre may be
+// exceeded, with every VM that is unavailable already counted, planned or not.
+func (s *State) checkBudgets(c *Config, name string) Result {
+	vm := s.VMs[name]
+	server := c.Servers[name]
+	pool := c.Pools[vm.Pool]
+	out := s.unavailable(c, name)
+	left := 0
+	for other, v := range s.VMs {
+		if other != name && v.Pool == vm.Pool && v.Available() {
+			left++
+		}
+	}
+	if left < pool.Min {
+		return reject(errkind.BudgetExceeded, "pool %q needs %d VMs and would have %d", vm.Pool, pool.Min, left)
+	}
+	if out.pool+1 > pool.MaxUnavailable {
+		return reject(errkind.BudgetExceeded, "pool %q has %d VMs unavailable of at most %d", vm.Pool, out.pool, pool.MaxUnavailable)
+	}
+	if svc, ok := c.Services[pool.Service]; ok && out.service+1 > svc.MaxUnavailable {
+		return reject(errkind.BudgetExceeded, "service %q has %d VMs unavailable of at most %d", pool.Service, out.service, svc.MaxUnavailable)
+	}
+	if rack, ok := c.Racks[server.Rack]; ok && out.rack+1 > rack.MaxUnavailable {
+		return reject(errkind.BudgetExceeded, "rack %q has %d VMs unavailable of at most %d", server.Rack, out.rack, rack.MaxUnavailable)
+	}
+	if dc, ok := c.Centres[server.DataCentre]; ok && out.centre+1 > dc.MaxUnavailable {
+		return reject(errkind.BudgetExceeded, "data centre %q has %d VMs unavailable of at most %d", server.DataCentre, out.centre, dc.MaxUnavailable)
+	}
+	return Result{}
+}
+
+type unavailableCounts struct{ pool, service, rack, centre int }
+
+func (s *State) unavailable(c *Config, except string) unavailableCounts {
+	var out unavailableCounts
+	own := s.VMs[except]
+	server := c.Servers[except]
+	service := c.Pools[own.Pool].Service
+	for name, v := range s.VMs {
+		if name == except || v.Available() {
+			continue
+		}
+		other := c.Servers[name]
+		if v.Pool == own.Pool {
+			out.pool++
+		}
+		if c.Pools[v.Pool].Service == service {
+			out.service++
+		}
+		if other.Rack == server.Rack {
+			out.rack++
+		}
+		if other.DataCentre == server.DataCentre {
+			out.centre++
+		}
+	}
+	return out
+}
+
+// health records an unplanned failure or its end. It needs no budget: what has failed has failed.
+func (s *State) health(c *ReportHealth) Result {
+	vm, ok := s.VMs[c.VM]
+	if !ok {
+		return reject(errkind.NotFound, "VM %q is not declared", c.VM)
+	}
+	vm.Down = c.Down
+	s.VMs[c.VM] = vm
+	return Result{}
+}
+
+// drain grants a drain slot.
+func (s *State) drain(c *GrantDrain) Result {
+	vm, r := s.atEpoch(c.VM, c.Epoch)
+	if !r.OK() {
+		return r
+	}
+	if vm.Phase != Serving {
+		return reject(errkind.VersionConflict, "VM %q is %s", c.VM, vm.Phase)
+	}
+	preset := s.Config.Preset()
+	if !preset.Maintenance {
+		return reject(errkind.BudgetExceeded, "preset %q allows no maintenance", s.Config.InForce)
+	}
+	if s.draining() >= preset.MaxDrains {
+		return reject(errkind.BudgetExceeded, "%d VMs are being drained already", preset.MaxDrains)
+	}
+	if c.Wave != "" && s.Waves[c.Wave].State != WaveRunning {
+		return reject(errkind.BudgetExceeded, "wave %q is not running", c.Wave)
+	}
+	if r := s.checkBudgets(s.Config, c.VM); !r.OK() {
+		return r
+	}
+	vm.Wave = c.Wave
+	s.setPhase(c.VM, vm, Draining)
+	return Result{}
+}
+
+func (s *State) draining() int {
+	n := 0
+	for _, v := range s.VMs {
+		if v.Phase == Draining || v.Phase == Rebooting {
+			n++
+		}
+	}
+	return n
+}
+
+// advance takes a VM from one phase to the next. Draining may end in Rebooting (empty) or Serving (given up); Rebooting in
+// Serving; Moving in Serving of the new pool (confirmed empty) or, for a move given up, of the old one.
+func (s *State) advance(c *AdvancePhase) Result {
+	vm, r := s.atEpoch(c.VM, c.Epoch)
+	if !r.OK() {
+		return r
+	}
+	switch {
+	case vm.Phase == Draining && c.To == Rebooting:
+	case vm.Phase == Draining && c.To == Serving:
+		vm.Wave = ""
+	case vm.Phase == Rebooting && c.To == Serving:
+		s.markMaintained(c, vm)
+		vm.Wave = ""
+	case vm.Phase == Moving && c.To == Serving:
+		if !c.Abandon {
+			vm.Pool = vm.MoveTo
+		}
+		vm.MoveTo = ""
+		s.Layout++
+	default:
+		return reject(errkind.VersionConflict, "VM %q cannot go from %s to %s", c.VM, vm.Phase, c.To)
+	}
+	s.setPhase(c.VM, vm, c.To)
+	return Result{}
+}
+
+func (s *State) markMaintained(c *AdvancePhase, vm VM) {
+	w, ok := s.Waves[vm.Wave]
+	if !ok || !c.Maintained {
+		return
+	}
+	if w.Maintained == nil {
+		w.Maintained = map[string]bool{}
+	}
+	w.Maintained[c.VM] = true
+	s.Waves[vm.Wave] = w
+}
+
+// move takes a VM out of its pool. Several moves of one plan carry the same layout epoch; only a finished or given-up move
+// raises it, and a VM that is moving already is refused.
+func (s *State) move(c *StartMove) Result {
+	vm, r := s.atEpoch(c.VM, c.Epoch)
+	if !r.OK() {
+		return r
+	}
+	if c.Layout != s.Layout {
+		return reject(errkind.VersionConflict, "the move was planned for layout %d, but %d is in force", c.Layout, s.Layout)
+	}
+	if _, ok := s.Config.Pools[c.To]; !ok {
+		return reject(errkind.NotFound, "pool %q does not exist", c.To)
+	}
+	if vm.Phase != Serving || c.To == vm.Pool {
+		return reject(errkind.VersionConflict, "VM %q is %s in pool %q", c.VM, vm.Phase, vm.Pool)
+	}
+	if r := s.checkBudgets(s.Config, c.VM); !r.OK() {
+		return r
+	}
+	vm.MoveTo = c.To
+	s.setPhase(c.VM, vm, Moving)
+	s.Layout++
+	return Result{}
+}
+
+func (s *State) atEpoch(name string, epoch uint64) (VM, Result) {
+	vm, ok := s.VMs[name]
+	if !ok {
+		return VM{}, reject(errkind.NotFound, "VM %q is not declared", name)
+	}
+	if vm.Epoch != epoch {
+		return VM{}, reject(errkind.VersionConflict, "VM %q is at phase epoch %d, not %d", name, vm.Epoch, epoch)
+	}
+	return vm, Result{}
+}
+
+func (s *State) setPhase(name string, vm VM, to Phase) {
+	vm.Phase = to
+	vm.Epoch++
+	s.VMs[name] = vm
+}
--- /dev/null
+++ b/fleet/config.go
@@ -0,0 +1,179 @@
+package fleet
+
+import "maps"
+
+// Config is the configuration in force. A Config that was published through
+// State.Config is immutable: a change replaces it as a whole.
+type Config struct {
+	// Version rises by one with every accepted change.
+	Version  uint64                   `json:"version"`
+	InForce  string                   `json:"in_force"` // name of the one preset in force
+	Presets  map[string]Preset        `json:"presets,omitempty"`
+	Keys     map[string]Key           `json:"keys,omitempty"` // by key id
+	Teams    map[string]Team          `json:"teams,omitempty"`
+	Queues   map[string]Queue         `json:"queues,omitempty"`
+	Pools    map[string]Pool          `json:"pools,omitempty"`
+	Services map[string]Service       `json:"services,omitempty"`
+	Centres  map[string]DataCentre    `json:"data_centres,omitempty"`
+	Racks    map[string]Rack          `json:"racks,omitempty"`
+	Servers  map[string]BackendServer `json:"backend_servers,omitempty"`
+	EntryVMs map[string]EntryVM       `json:"entry_vms,omitempty"`
+	Policy   Policy                   `json:"policy"`
+}
+
+// Preset is one of the operators' few modes of running the fleet.
+type Preset struct {
+	Description string `json:"description,omitempty"`
+	// PoolSizes is the wanted number of VMs per pool. Pools not named keep what they have.
+	PoolSizes map[string]int `json:"pool_sizes,omitempty"`
+	// Maintenance says whether VMs may be drained for maintenance.
+	Maintenance bool `json:"maintenance"`
+	// MaxDrains bounds the VMs that are drained at one time in the whole fleet.
+	MaxDrains int `json:"max_drains,omitempty"`
+	// ReservePercent of each pool's slots is kept free of overnight work, 0 to 100.
+	ReservePercent int `json:"reserve_percent,omitempty"`
+}
+
+// Key is a team's key. Only the SHA-256 of the key is kept.
+type Key struct {
+	Team      string `json:"team"`
+	Hash      string `json:"hash"` // SHA-256 of the key, in hexadecimal
+	Withdrawn bool   `json:"withdrawn,omitempty"`
+}
+
+// Team is a group of members with a share and an upper limit.
+type Team struct {
+	// Share is the team's weight when all is full, 0 or more.
+	Share int `json:"share"`
+	// Limit is the largest number of tasks the team may run in the whole fleet.
+	Limit int `json:"limit"`
+	// FirmPerEntryVM is the part of Limit that each declared entry VM holds without a lease that lapses, so
+	// that a data centre cut off for longer than a lease goes on serving the team.
+	FirmPerEntryVM int `json:"firm_per_entry_vm,omitempty"`
+}
+
+// Class tells urgent work from work that may wait overnight.
+type Class string
+
+// The two classes of work.
+const (
+	Urgent    Class = "urgent"
+	Overnight Class = "overnight"
+)
+
+// Queue is where members hand in work.
+type Queue struct {
+	Pool  string `json:"pool"`
+	Class Class  `json:"class"`
+	// Open queues take work without a key. Such work counts for Team.
+	Open bool   `json:"open,omitempty"`
+	Team string `json:"team,omitempty"` // for open queues only
+	// RunMillis is the declared run time of a task, in milliseconds. It may be far off.
+	RunMillis int `json:"run_millis,omitempty"`
+}
+
+// Pool is a set of backend server VMs that serve the same queues.
+type Pool struct {
+	Service string `json:"service,omitempty"`
+	// Min is the number of VMs that must stay available.
+	Min int `json:"min"`
+	// MaxUnavailable bounds the VMs out of service at one time, planned or not.
+	MaxUnavailable int `json:"max_unavailable"`
+	// Spare marks the pool from which bursts are served.
+	Spare bool `json:"spare,omitempty"`
+}
+
+// Service is a group of pools with a common budget.
+type Service struct {
+	MaxUnavailable int `json:"max_unavailable"`
+}
+
+// DataCentre is a failure domain with its own entry VMs and backend servers.
+type DataCentre struct {
+	Region         string `json:"region,omitempty"`
+	MaxUnavailable int    `json:"max_unavailable"`
+}
+
+// Rack is a failure domain within a data centre.
+type Rack struct {
+	DataCentre     string `json:"data_centre"`
+	MaxUnavailable int    `json:"max_unavailable"`
+}
+
+// BackendServer is the declaration of a VM that runs tasks.
+type BackendServer struct {
+	Address      string `json:"address"` // IP number and port
+	DataCentre   string `json:"data_centre"`
+	Rack         string `json:"rack"`
+	Pool         string `json:"pool"` // the pool it starts in; later moves are in State.VMs
+	Slots        int    `json:"slots"`
+	Connections  int    `json:"connections"`
+	Accelerators int    `json:"accelerators,omitempty"`
+}
+
+// EntryVM is the declaration of an entry VM.
+type EntryVM struct {
+	DataCentre string `json:"data_centre"`
+}
+
+// StalePolicy says what happens to keyed work on a view that is not fresh.
+type StalePolicy string
+
+// The two policies for keyed work on a view that is not fresh.
+const (
+	RefuseWhenStale StalePolicy = "refuse"
+	ServeWhenStale  StalePolicy = "serve"
+)
+
+// Policy holds settings of the whole fleet.
+type Policy struct {
+	// KeyFreshnessMillis bounds the age of the view on which a key is accepted, in milliseconds.
+	KeyFreshnessMillis int         `json:"key_freshness_millis"`
+	OnStaleView        StalePolicy `json:"on_stale_view"`
+}
+
+// DefaultKeyFreshnessMillis is the age of a view, in milliseconds, up to which keys are accepted.
+const DefaultKeyFreshnessMillis = 10_000
+
+// NewConfig returns an empty configuration with the default policy.
+func NewConfig() *Config {
+	return &Config{
+		Presets:  map[string]Preset{},
+		Keys:     map[string]Key{},
+		Teams:    map[string]Team{},
+		Queues:   map[string]Queue{},
+		Pools:    map[string]Pool{},
+		Services: map[string]Service{},
+		Centres:  map[string]DataCentre{},
+		Racks:    map[string]Rack{},
+		Servers:  map[string]BackendServer{},
+		EntryVMs: map[string]EntryVM{},
+		Policy:   Policy{KeyFreshnessMillis: DefaultKeyFreshnessMillis, OnStaleView: RefuseWhenStale},
+	}
+}
+
+// Clone returns a copy whose maps can be changed without touching c.
+func (c *Config) Clone() *Config {
+	next := *c
+	next.Presets = cloneMap(c.Presets)
+	next.Keys = cloneMap(c.Keys)
+	next.Teams = cloneMap(c.Teams)
+	next.Queues = cloneMap(c.Queues)
+	next.Pools = cloneMap(c.Pools)
+	next.Services = cloneMap(c.Services)
+	next.Centres = cloneMap(c.Centres)
+	next.Racks = cloneMap(c.Racks)
+	next.Servers = cloneMap(c.Servers)
+	next.EntryVMs = cloneMap(c.EntryVMs)
+	return &next
+}
+
+// Preset returns the preset in force, or the zero Preset before the first one.
+func (c *Config) Preset() Preset { return c.Presets[c.InForce] }
+
+func cloneMap[V any](m map[string]V) map[string]V {
+	if m == nil {
+		return map[string]V{}
+	}
+	return maps.Clone(m)
+}
--- /dev/null
+++ b/fleet/snapshot.go
@@ -0,0 +1,82 @@
+package fleet
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"io"
+
+	"github.com/samber/oops"
+)
+
+// SnapshotPartBytes is the largest size of the data of one snapshot part, in bytes.
+const SnapshotPartBytes = 256 << 10
+
+// Encode returns the state as compressed JSON. Equal states give equal bytes.
+func (s *State) Encode() ([]byte, error) {
+	var buf bytes.Buffer
+	zw := gzip.NewWriter(&buf)
+	if err := json.NewEncoder(zw).Encode(s); err != nil {
+		return nil, oops.Wrapf(err, "encode the state")
+	}
+	if err := zw.Close(); err != nil {
+		return nil, oops.Wrapf(err, "compress the state")
+	}
+	return buf.Bytes(), nil
+}
+
+// DecodeState returns the state that Encode wrote.
+func DecodeState(data []byte) (*State, error) {
+	zr, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, oops.Wrapf(err, "decompress the state")
+	}
+	raw, err := io.ReadAll(zr)
+	if err != nil {
+		return nil, oops.Wrapf(err, "decompress the state")
+	}
+	s := NewState()
+	if err := json.Unmarshal(raw, s); err != nil {
+		return nil, oops.Wrapf(err, "decode the state")
+	}
+	return s, nil
+}
+
+// Split returns the commands that write an encoded state of offset upTo to the log. Each part goes into a batch of its own.
+func Split(id string, upTo uint64, data []byte) []Command {
+	count := max(1, (len(data)+SnapshotPartBytes-1)/SnapshotPartBytes)
+	parts := make([]Command, count)
+	for i := range parts {
+		from := i * SnapshotPartBytes
+		to := min(len(data), from+SnapshotPartBytes)
+		parts[i] = Command{Snapshot: &SnapshotPart{ID: id, UpTo: upTo, Index: i, Count: count, Data: data[from:to]}}
+	}
+	return parts
+}
+
+// Assembler puts the parts of snapshots together while the log is read from its start.
+type Assembler struct {
+	parts map[string]map[int][]byte
+}
+
+// Add takes a part and returns the state once all parts of its snapshot have been seen.
+func (a *Assembler) Add(p *SnapshotPart) (*State, error) {
+	if a.parts == nil {
+		a.parts = map[string]map[int][]byte{}
+	}
+	seen := a.parts[p.ID]
+	if seen == nil {
+		seen = map[int][]byte{}
+		a.parts[p.ID] = seen
+	}
+	seen[p.Index] = p.Data
+	if len(seen) < p.Count {
+		return nil, nil
+	}
+	delete(a.parts, p.ID)
+	var data []byte
+	for i := range p.Count {
+		data = append(data, seen[i]...)
+	}
+	return DecodeState(data)
+}
--- /dev/null
+++ b/fleet/state.go
@@ -0,0 +1,154 @@
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"example.org/comfreyrouter/errkind"
+)
+
+// Phase is the state of a VM in its pool.
+type Phase string
+
+// The phases of a VM. Only a serving VM gets new work.
+const (
+	Serving   Phase = "serving"
+	Draining  Phase = "draining"
+	Rebooting Phase = "rebooting"
+	Moving    Phase = "moving"
+)
+
+// VM is the agreed state of a backend server VM.
+type VM struct {
+	Pool  string `json:"pool"`
+	Phase Phase  `json:"phase"`
+	// Epoch rises with every change of pool or phase.
+	Epoch  uint64 `json:"epoch"`
+	MoveTo string `json:"move_to,omitempty"` // target pool while Moving
+	Down   bool   `json:"down,omitempty"`    // reported down, planned or not
+	Wave   string `json:"wave,omitempty"`    // wave of the drain in progress
+}
+
+// Available reports whether the VM counts as available to its pool.
+func (v VM) Available() bool { return v.Phase == Serving && !v.Down }
+
+// Member is an incarnation of an entry VM.
+type Member struct {
+	VM            string `json:"vm"`
+	DataCentre    string `json:"data_centre"`
+	PeerAddress   string `json:"peer_address"`
+	CallerAddress string `json:"caller_address"`
+	// Fence is the offset of the join. Backend servers refuse a lower one from the same VM.
+	Fence    uint64 `json:"fence"`
+	LeaseSeq uint64 `json:"lease_seq"`
+	// LastSeq is the last batch sequence number that was applied.
+	LastSeq uint64 `json:"last_seq"`
+	Fenced  bool   `json:"fenced,omitempty"`
+}
+
+// Grant is the number of tasks of one team that one incarnation may run.
+type Grant struct {
+	Firm   int `json:"firm,omitempty"`   // does not lapse by time
+	Leased int `json:"leased,omitempty"` // lapses with the member's lease
+	Want   int `json:"want,omitempty"`   // what the holder last asked for
+}
+
+// Total returns the firm and the leased part together.
+func (g Grant) Total() int { return g.Firm + g.Leased }
+
+// Claim is the record of a request id that may run at most once.
+type Claim struct {
+	// Claimant is the only incarnation that may run the request; empty for an id that was closed unrun.
+	Claimant string `json:"claimant,omitempty"`
+	// Outcome is empty until it is known.
+	Outcome errkind.Outcome `json:"outcome,omitempty"`
+}
+
+// WaveState is the state of a maintenance wave.
+type WaveState string
+
+// The states of a wave.
+const (
+	WavePlanned WaveState = "planned"
+	WaveRunning WaveState = "running"
+	WavePaused  WaveState = "paused"
+	WaveDone    WaveState = "done"
+)
+
+// Wave is a maintenance wave: every VM of its pools is drained and rebooted once.
+type Wave struct {
+	Pools      []string        `json:"pools,omitempty"` // empty for all pools
+	State      WaveState       `json:"state"`
+	Maintained map[string]bool `json:"maintained,omitempty"`
+}
+
+// State is what the fold computes. It is not safe for concurrent use; Store guards it.
+type State struct {
+	// Offset is the offset of the last batch applied. It never goes back.
+	Offset uint64  `json:"offset"`
+	Config *Config `json:"config"`
+	// VMs has the pool and phase of each declared backend server.
+	VMs map[string]VM `json:"vms"`
+	// Layout rises with every start or end of a move, so that one plan wins.
+	Layout  uint64            `json:"layout"`
+	Members map[string]Member `json:"members"` // by incarnation
+	// LastIncarnation has the highest incarnation seen of each entry VM, so that a delayed join of an ended one is ignored.
+	LastIncarnation map[string]string `json:"last_incarnation"`
+	// Grants are keyed by team, then by incarnation.
+	Grants map[string]map[string]Grant `json:"grants"`
+	Waves  map[string]Wave             `json:"waves"`
+	Claims Claims                      `json:"claims"`
+	// Issuers has the ids run by each issuer that left after a graceful shutdown.
+	Issuers Issuers `json:"issuers"`
+	// Configured remembers the results of the last Configure commands by id.
+	Configured Configured `json:"configured"`
+	// SnapshotOffset is the UpTo of the last complete snapshot in the log.
+	SnapshotOffset uint64 `json:"snapshot_offset"`
+	// SnapshotParts counts the parts seen of the snapshot that is being written.
+	SnapshotParts map[string]int `json:"snapshot_parts,omitempty"`
+}
+
+// NewState returns the state before the first record.
+func NewState() *State {
+	return &State{
+		Config:          NewConfig(),
+		VMs:             map[string]VM{},
+		Members:         map[string]Member{},
+		LastIncarnation: map[string]string{},
+		Grants:          map[string]map[string]Grant{},
+		Waves:           map[string]Wave{},
+		Claims:          Claims{ByID: map[string]Claim{}},
+		Issuers:         Issuers{ByID: map[string]map[string]errkind.Outcome{}},
+		Configured:      Configured{ByID: map[string]Result{}},
+		SnapshotParts:   map[string]int{},
+	}
+}
+
+// LiveMembers returns the members that are not fenced, by incarnation, in order.
+func (s *State) LiveMembers() []string {
+	var live []string
+	for id, m := range s.Members {
+		if !m.Fenced {
+			live = append(live, id)
+		}
+	}
+	slices.Sort(live)
+	return live
+}
+
+// GrantOf returns the grant of an incarnation for a team.
+func (s *State) GrantOf(team, incarnation string) Grant { return s.Grants[team][incarnation] }
+
+// Granted returns the sum of all grants of a team.
+func (s *State) Granted(team string) int {
+	sum := 0
+	for _, g := range s.Grants[team] {
+		sum += g.Total()
+	}
+	return sum
+}
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
+func compare(a, b string) int { return cmp.Compare(a, b) }
