--- a/backend/backend.go
+++ b/backend/backend.go
@@ -18,6 +18,7 @@
 	HeaderClass      = "Comfrey-Class"
 	HeaderQueue      = "Comfrey-Queue"
 	HeaderTeam       = "Comfrey-Team"
+	HeaderResume     = "Comfrey-Resume"  // "true" if the body is the state of a checkpointed task
 	HeaderDigest     = "Comfrey-Digest"  // xxhash64 of the answer's body, in hexadecimal
 	HeaderStarted    = "Comfrey-Started" // "false" on a refusal before the start
 	HeaderReason     = "Comfrey-Reason"  // reason of a refusal: busy, draining, fence, epoch, lease, duplicate
@@ -36,6 +37,8 @@
 	// LeaseUntil is the end of the task's lease in milliseconds of the server's own clock.
 	LeaseUntil int64
 	Body       []byte
+	// Resume says that Body is the state of a checkpointed task, which continues from there.
+	Resume bool
 }
 
 // LeaseRequest renews the leases of a holder's tasks on one server.
--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -32,6 +32,7 @@
 	BackendFailed     Kind = "backend_failed"
 	BackendLost       Kind = "backend_lost"
 	AnswerCorrupt     Kind = "answer_corrupt"
+	Checkpointed      Kind = "checkpointed"
 	RequestTimeout    Kind = "request_timeout"
 	AttemptsExhausted Kind = "attempts_exhausted"
 	ClaimedElsewhere  Kind = "claimed_elsewhere"
@@ -89,6 +90,7 @@
 	BackendFailed:     {http.StatusBadGateway, Unknown, false, "the backend server reported that the task failed"},
 	BackendLost:       {http.StatusBadGateway, Unknown, false, "the connection broke after the task was sent"},
 	AnswerCorrupt:     {http.StatusBadGateway, Unknown, false, "the answer was truncated or belonged to another request"},
+	Checkpointed:      {http.StatusServiceUnavailable, Unknown, false, "the task was checkpointed and did not resume before the deadline"},
 	RequestTimeout:    {http.StatusGatewayTimeout, Unknown, false, "the deadline passed while the task ran"},
 	AttemptsExhausted: {http.StatusBadGateway, Unknown, false, "the task failed on as many backend servers as are tried"},
 	ClaimedElsewhere:  {http.StatusConflict, Unknown, false, "the request id is claimed by another attempt whose outcome is not known"},
--- /dev/null
+++ b/internal/standin/backendserver/server.go
@@ -0,0 +1,293 @@
+// Package backendserver is a stand-in for a worker of the platform: it runs tasks in slots under leases, with fencing tokens, and has
+// switches for the ways in which workers fail. It serves tests and the dev command only.
+package backendserver
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"example.org/comfreyrouter/backend"
+)
+
+// Work runs a task. It returns a *backend.Checkpoint if checkpoint is closed before the end and the task can be saved.
+type Work func(ctx context.Context, t backend.Task, checkpoint <-chan struct{}) ([]byte, error)
+
+// Options are the settings of a Server.
+type Options struct {
+	Name  string
+	Slots int
+	Work  Work // nil for Sleep
+	// OnStart is called for every task that starts, before it runs.
+	OnStart func(backend.Task)
+}
+
+// Faults are the switches of a Server. The zero value is a healthy one.
+type Faults struct {
+	Delay    time.Duration // added before each task runs
+	Late     time.Duration // added between the end of a task and its answer
+	FailAll  bool          // every task fails at once
+	Hang     bool          // tasks start and never end
+	Truncate bool          // answers stop halfway
+	Cross    bool          // answers carry the id of another task
+	Drop     bool          // the connection breaks after the task has run
+}
+
+type task struct {
+	backend.Task
+	started    time.Time
+	until      int64
+	cancel     context.CancelCauseFunc
+	checkpoint chan struct{}
+	saved      bool
+}
+
+// Server is one worker.
+type Server struct {
+	options Options
+	start   time.Time
+
+	mu        sync.Mutex
+	faults    Faults
+	tasks     map[string]*task
+	seen      map[string]bool
+	fences    map[string]uint64
+	poolEpoch uint64
+	draining  bool
+}
+
+// New returns a worker without tasks.
+func New(o Options) *Server {
+	if o.Work == nil {
+		o.Work = Sleep
+	}
+	return &Server{
+		options: o,
+		start:   time.Now(),
+		tasks:   map[string]*task{},
+		seen:    map[string]bool{},
+		fences:  map[string]uint64{},
+	}
+}
+
+// SetFaults replaces the switches.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+func (s *Server) currentFaults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+func (s *Server) clockMillis() int64 { return time.Since(s.start).Milliseconds() }
+
+// refusal is the reason for which a task did not start.
+type refusal string
+
+// begin checks a task and starts counting it. It returns the reason if the task may not start.
+func (s *Server) begin(ctx context.Context, t backend.Task) (*task, context.Context, refusal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if reason := s.check(t); reason != "" {
+		return nil, nil, reason
+	}
+	s.seen[t.ID] = true
+	s.fences[t.Holder] = t.Fence
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	running := &task{Task: t, started: time.Now(), until: t.LeaseUntil, cancel: cancel, checkpoint: make(chan struct{})}
+	s.tasks[t.ID] = running
+	return running, ctx, ""
+}
+
+func (s *Server) check(t backend.Task) refusal {
+	switch {
+	case t.Fence < s.fences[t.Holder]:
+		return "fence"
+	case t.PoolEpoch < s.poolEpoch:
+		return "epoch"
+	case s.draining:
+		return "draining"
+	case s.seen[t.ID]:
+		return "duplicate"
+	case t.LeaseUntil <= s.clockMillis():
+		return "lease"
+	case len(s.tasks) >= s.options.Slots:
+		return "busy"
+	}
+	return ""
+}
+
+// Causes for which the server ends a task.
+var (
+	errLease   = errors.New("lease")
+	errStopped = errors.New("stopped")
+	errFailed  = errors.New("failed")
+)
+
+// run runs a task that has begun and frees its slot.
+func (s *Server) run(ctx context.Context, t *task) ([]byte, error) {
+	defer s.end(t)
+	go s.watchLease(ctx, t)
+	if s.options.OnStart != nil {
+		s.options.OnStart(t.Task)
+	}
+	f := s.currentFaults()
+	switch {
+	case f.FailAll:
+		return nil, errFailed
+	case f.Hang:
+		<-ctx.Done()
+		return nil, context.Cause(ctx)
+	}
+	if err := sleep(ctx, f.Delay); err != nil {
+		return nil, err
+	}
+	body, err := s.options.Work(ctx, t.Task, t.checkpoint)
+	if ctx.Err() != nil {
+		return nil, context.Cause(ctx)
+	}
+	return body, err
+}
+
+func (s *Server) end(t *task) {
+	t.cancel(nil)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.tasks, t.ID)
+}
+
+// watchLease stops the task when its lease runs out.
+func (s *Server) watchLease(ctx context.Context, t *task) {
+	for {
+		s.mu.Lock()
+		left := t.until - s.clockMillis()
+		s.mu.Unlock()
+		if left <= 0 {
+			t.cancel(errLease)
+			return
+		}
+		if sleep(ctx, time.Duration(left)*time.Millisecond) != nil {
+			return
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// renew moves the lease ends of a holder's tasks. A lease never gets shorter.
+func (s *Server) renew(r backend.LeaseRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Fence < s.fences[r.Holder] {
+		return
+	}
+	for id, until := range r.Until {
+		if t, ok := s.tasks[id]; ok && t.Holder == r.Holder {
+			t.until = max(t.until, until)
+		}
+	}
+}
+
+// signal stops or checkpoints a task of a holder.
+func (s *Server) signal(id string, r backend.TaskRequest, checkpoint bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t, ok := s.tasks[id]
+	if !ok || t.Holder != r.Holder || r.Fence < s.fences[r.Holder] {
+		return
+	}
+	if !checkpoint {
+		t.cancel(errStopped)
+		return
+	}
+	if !t.saved {
+		t.saved = true
+		close(t.checkpoint)
+	}
+}
+
+func (s *Server) setDraining(draining bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = draining
+}
+
+func (s *Server) assign(epoch uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.poolEpoch = max(s.poolEpoch, epoch)
+}
+
+// Status returns the state of the worker.
+func (s *Server) Status() backend.Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := backend.Status{
+		Name:        s.options.Name,
+		ClockMillis: s.clockMillis(),
+		Slots:       s.options.Slots,
+		Draining:    s.draining,
+		PoolEpoch:   s.poolEpoch,
+		ByHolder:    map[string]int{},
+	}
+	for _, t := range s.tasks {
+		st.ByHolder[t.Holder]++
+		st.Running = append(st.Running, backend.TaskStatus{
+			ID: t.ID, Holder: t.Holder, Team: t.Team, Queue: t.Queue, Class: t.Class, RunTime: time.Since(t.started), Cores: 1,
+		})
+	}
+	return st
+}
+
+// SleepTask is the body of a task for Sleep.
+type SleepTask struct {
+	Order     string `json:"order,omitempty"`
+	RunMillis int    `json:"run_millis"`
+	Fail      bool   `json:"fail,omitempty"`
+}
+
+// Sleep is a Work that takes the time its body asks for and answers with the body. A checkpoint saves the time that is left.
+func Sleep(ctx context.Context, t backend.Task, checkpoint <-chan struct{}) ([]byte, error) {
+	var in SleepTask
+	if err := json.Unmarshal(t.Body, &in); err != nil {
+		return t.Body, nil
+	}
+	if in.Fail {
+		return nil, errFailed
+	}
+	started := time.Now()
+	length := time.Duration(in.RunMillis) * time.Millisecond
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return t.Body, nil
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	case <-checkpoint:
+		in.RunMillis = int(max(0, length-time.Since(started)).Milliseconds())
+		state, err := json.Marshal(in)
+		if err != nil {
+			return nil, err
+		}
+		return nil, &backend.Checkpoint{State: state}
+	}
+}
