--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 
 	"github.com/samber/oops"
@@ -160,3 +161,17 @@
 	}
 	return Internal
 }
+
+// Row returns the line of the kind in the table of docs/errors.md.
+func (k Kind) Row() string {
+	a := Lookup(k)
+	outcome := string(a.Outcome)
+	if outcome == "" {
+		outcome = "operators only"
+	}
+	retry := "no"
+	if a.Retry {
+		retry = "yes"
+	}
+	return fmt.Sprintf("| `%s` | %d | %s | %s | %s |", k, a.Status, outcome, retry, a.Text)
+}
