Carry the phase epoch in drain and undrain calls

Cause: a lagging entry VM that still sees a VM as serving could end a drain that another one had confirmed as empty, and a reboot would then cut requests. A server now ignores a drain or undrain below the highest epoch it has seen, and refuses tasks from holders below it. The assign call is no longer needed. The test of delayed calls fails without the comparison.

--- a/backend/client.go
+++ b/backend/client.go
@@ -207,27 +207,19 @@
 	return err
 }
 
-// Drain tells a server to refuse new tasks.
-func (c *Client) Drain(ctx context.Context, address string) error {
-	_, err := c.call(ctx, http.MethodPost, address, "/v1/drain", nil)
-	return err
+// PhaseRequest carries the phase epoch of the VM for which a drain or its end was decided.
+type PhaseRequest struct {
+	Epoch uint64 `json:"epoch"`
 }
 
-// Undrain tells a server to take new tasks again.
-func (c *Client) Undrain(ctx context.Context, address string) error {
-	_, err := c.call(ctx, http.MethodPost, address, "/v1/undrain", nil)
-	return err
+// Drain tells a server to refuse new tasks. The server ignores it if it has seen a later epoch, so a delayed call has no effect.
+func (c *Client) Drain(ctx context.Context, address string, epoch uint64) (Status, error) {
+	return c.call(ctx, http.MethodPost, address, "/v1/drain", PhaseRequest{epoch})
 }
 
-// AssignRequest tells a server the epoch of its pool.
-type AssignRequest struct {
-	PoolEpoch uint64 `json:"pool_epoch"`
-}
-
-// Assign raises the pool epoch of a server, below which it refuses tasks.
-func (c *Client) Assign(ctx context.Context, address string, poolEpoch uint64) error {
-	_, err := c.call(ctx, http.MethodPost, address, "/v1/assign", AssignRequest{poolEpoch})
-	return err
+// Undrain tells a server to take new tasks again, from holders that have seen the epoch. The server ignores it if it has seen a later one.
+func (c *Client) Undrain(ctx context.Context, address string, epoch uint64) (Status, error) {
+	return c.call(ctx, http.MethodPost, address, "/v1/undrain", PhaseRequest{epoch})
 }
 
 // call makes one control call. All of them answer with the server's status.
--- a/backend/client_test.go
+++ b/backend/client_test.go
@@ -75,12 +75,18 @@
 		_, err := c.Run(t.Context(), address, refused)
 		assert.Equal(t, errkind.BackendRefused, errkind.Of(err), refused.ID)
 	}
-	require.NoError(t, c.Assign(t.Context(), address, 7))
+	_, err = c.Undrain(t.Context(), address, 7)
+	require.NoError(t, err)
 	_, err = c.Run(t.Context(), address, task("stale-epoch"))
 	assert.Equal(t, errkind.BackendRefused, errkind.Of(err))
-	require.NoError(t, c.Drain(t.Context(), address))
+	status, err := c.Drain(t.Context(), address, 8)
+	require.NoError(t, err)
+	assert.True(t, status.Draining)
+	status, err = c.Undrain(t.Context(), address, 7)
+	require.NoError(t, err)
+	assert.True(t, status.Draining, "a delayed end of an earlier drain has no effect")
 	drained := task("drained")
-	drained.PoolEpoch = 7
+	drained.PoolEpoch = 8
 	_, err = c.Run(t.Context(), address, drained)
 	assert.Equal(t, errkind.BackendRefused, errkind.Of(err))
 	assert.Equal(t, 1, started)
--- a/internal/standin/backendserver/http.go
+++ b/internal/standin/backendserver/http.go
@@ -25,7 +25,6 @@
 	e.POST("/v1/tasks/:id/checkpoint", func(c echo.Context) error { return s.postSignal(c, true) })
 	e.POST("/v1/drain", func(c echo.Context) error { return s.postDraining(c, true) })
 	e.POST("/v1/undrain", func(c echo.Context) error { return s.postDraining(c, false) })
-	e.POST("/v1/assign", s.postAssign)
 	e.POST("/v1/faults", s.postFaults)
 	e.GET("/v1/status", func(c echo.Context) error { return c.JSON(http.StatusOK, s.Status()) })
 	return e
@@ -145,16 +144,11 @@
 }
 
 func (s *Server) postDraining(c echo.Context, draining bool) error {
-	s.setDraining(draining)
-	return c.JSON(http.StatusOK, s.Status())
-}
-
-func (s *Server) postAssign(c echo.Context) error {
-	var r backend.AssignRequest
+	var r backend.PhaseRequest
 	if err := c.Bind(&r); err != nil {
 		return err
 	}
-	s.assign(r.PoolEpoch)
+	s.setDraining(r.Epoch, draining)
 	return c.JSON(http.StatusOK, s.Status())
 }
 
--- a/internal/standin/backendserver/server.go
+++ b/internal/standin/backendserver/server.go
@@ -224,18 +224,17 @@
 	}
 }
 
-func (s *Server) setDraining(draining bool) {
+// setDraining starts or ends a drain, unless a later epoch was seen.
+func (s *Server) setDraining(epoch uint64, draining bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if epoch < s.poolEpoch {
+		return
+	}
+	s.poolEpoch = epoch
 	s.draining = draining
 }
 
-func (s *Server) assign(epoch uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.poolEpoch = max(s.poolEpoch, epoch)
-}
-
 // Status returns the state of the worker.
 func (s *Server) Status() backend.Status {
 	s.mu.Lock()
