--- a/fleet/apply_vms.go
+++ b/fleet/apply_vms.go
@@ -2,6 +2,12 @@
 
 import "example.org/comfreyrouter/errkind"
 
+// MayTakeOut reports whether every availability budget would hold without the VM. The VM itself need not be available now.
+func (s *State) MayTakeOut(name string) Result { return s.checkBudgets(s.Config, name) }
+
+// Drains returns the number of VMs that are being drained or rebooted for maintenance.
+func (s *State) Drains() int { return s.draining() }
+
 // checkBudgets reports whether the VM may become unavailable: no budget of its pool, service, rack and data centre may be
 // exceeded, with every VM that is unavailable already counted, planned or not.
 func (s *State) checkBudgets(c *Config, name string) Result {
