--- a/pools/plan.go
+++ b/pools/plan.go
@@ -112,10 +112,7 @@
 	have := len(v.members)
 	base, fixed := preset.PoolSizes[v.name]
 	if !fixed {
-		base = have
-		if v.spare {
-			base = v.min
-		}
+		base = declared(s.Config, v)
 	}
 	if v.spare || have == 0 || slots == 0 {
 		return base
@@ -141,6 +138,21 @@
 	return max(base, need)
 }
 
+// declared returns the size of a pool that the preset does not name: what its VMs were declared for, or the least that it needs for a
+// spare pool.
+func declared(c *fleet.Config, v poolView) int {
+	if v.spare {
+		return v.min
+	}
+	n := 0
+	for _, server := range c.Servers {
+		if server.Pool == v.name {
+			n++
+		}
+	}
+	return n
+}
+
 // lasted returns for how long a condition has held, and notes its start.
 func lasted(since map[string]time.Time, pool string, now time.Time) time.Duration {
 	start, ok := since[pool]
