--- a/pools/plan.go
+++ b/pools/plan.go
@@ -1,72 +1,45 @@
-// Package pools decides which VM moves to which pool, from the preset in force and the demand that lasts. Short bursts are not
-// answered by moves: routing lends the servers of the spare pools to them.
+// Package pools decides which VM moves to which pool, so that pools reach the sizes of the preset in force. Demand causes no
+// moves: a burst is over before a VM has moved, and routing lends the servers of the spare pools to pools that are full.
 package pools
 
 import (
 	"slices"
-	"time"
 
 	"example.org/comfreyrouter/fleet"
 )
 
-// Options are the settings of a Planner.
-type Options struct {
-	// Raise is how long demand must be above a pool's size before it gets a VM, and Lower how long it must be below before
-	// one goes back. A short Raise and a long Lower damp moves under bursts.
-	Raise time.Duration
-	Lower time.Duration
-	// TargetPercent of a pool's slots are to be in use.
-	TargetPercent int
-	// MaxMoves bounds the moves in progress.
-	MaxMoves int
-}
-
-// DefaultOptions suit pools of 8 to 12 servers with bursts of some seconds.
-func DefaultOptions() Options {
-	return Options{Raise: 30 * time.Second, Lower: 10 * time.Minute, TargetPercent: 80, MaxMoves: 3}
-}
+// MaxMoves bounds the moves in progress, since a moving VM serves nobody.
+const MaxMoves = 3
 
 // Snapshot is what a plan is made from.
 type Snapshot struct {
 	Layout uint64
 	Config *fleet.Config
 	VMs    map[string]fleet.VM
-	// Busy is the number of slots that each pool's running and waiting requests need.
-	Busy map[string]int
-}
-
-// Planner remembers since when demand has asked for another size.
-type Planner struct {
-	options Options
-	above   map[string]time.Time
-	below   map[string]time.Time
-}
-
-// NewPlanner returns a planner that has seen no demand.
-func NewPlanner(o Options) *Planner {
-	return &Planner{options: o, above: map[string]time.Time{}, below: map[string]time.Time{}}
 }
 
 // poolView is the state of one pool in a plan.
 type poolView struct {
 	name    string
-	members []string // available VMs, in order of name
+	size    int      // VMs that belong to the pool or move to it
+	members []string // those that are available, in order of name
 	wanted  int
 	spare   bool
 	min     int
 }
 
-// surplus is the number of VMs that the pool can give.
-func (p poolView) surplus() int { return len(p.members) - max(p.wanted, p.min) }
+// surplus is the number of VMs that the pool can give. VMs that are down or drained count for its size, so that failures and
+// maintenance cause no moves there and back.
+func (p poolView) surplus() int { return min(p.size-p.wanted, len(p.members)-p.min) }
 
 // Plan returns the next move, and false if none is needed. There is one at a time, because each accepted move raises the
 // layout epoch: of two VMs that plan at once, one wins.
-func (p *Planner) Plan(s Snapshot, now time.Time) (fleet.StartMove, bool) {
-	views, arriving, moving := p.views(s, now)
-	if moving >= p.options.MaxMoves {
+func Plan(s Snapshot) (fleet.StartMove, bool) {
+	views, moving := poolViews(s)
+	if moving >= MaxMoves {
 		return fleet.StartMove{}, false
 	}
-	to, ok := neediest(views, arriving)
+	to, ok := neediest(views)
 	if !ok {
 		return fleet.StartMove{}, false
 	}
@@ -78,68 +51,39 @@
 	return fleet.StartMove{VM: vm, Epoch: s.VMs[vm].Epoch, To: to.name, Layout: s.Layout}, true
 }
 
-func (p *Planner) views(s Snapshot, now time.Time) (views map[string]poolView, arriving map[string]int, moving int) {
+func poolViews(s Snapshot) (views map[string]poolView, moving int) {
 	views = map[string]poolView{}
-	arriving = map[string]int{}
-	slots := map[string]int{}
 	for name, pool := range s.Config.Pools {
-		views[name] = poolView{name: name, spare: pool.Spare, min: pool.Min}
+		v := poolView{name: name, spare: pool.Spare, min: pool.Min}
+		v.wanted = wanted(s.Config, v)
+		views[name] = v
 	}
 	for _, name := range sortedNames(s.VMs) {
 		vm := s.VMs[name]
+		pool := vm.Pool
 		if vm.Phase == fleet.Moving {
 			moving++
-			arriving[vm.MoveTo]++
+			pool = vm.MoveTo
 		}
-		if !vm.Available() {
-			continue
+		v := views[pool]
+		v.size++
+		if vm.Available() {
+			v.members = append(v.members, name)
 		}
-		v := views[vm.Pool]
-		v.members = append(v.members, name)
-		views[vm.Pool] = v
-		slots[vm.Pool] += s.Config.Servers[name].Slots
-	}
-	preset := s.Config.Preset()
-	for name, v := range views {
-		v.wanted = p.wanted(s, v, preset, slots[name], now)
-		views[name] = v
+		views[pool] = v
 	}
-	return views, arriving, moving
+	return views, moving
 }
 
-// wanted returns the size that a pool should have: the preset's, or more while demand above it lasts.
-func (p *Planner) wanted(s Snapshot, v poolView, preset fleet.Preset, slots int, now time.Time) int {
-	have := len(v.members)
-	base, fixed := preset.PoolSizes[v.name]
-	if !fixed {
-		base = declared(s.Config, v)
-	}
-	if v.spare || have == 0 || slots == 0 {
-		return base
-	}
-	perVM := slots / have
-	need := (s.Busy[v.name]*100 + perVM*p.options.TargetPercent - 1) / (perVM * p.options.TargetPercent)
-	switch {
-	case need > have:
-		delete(p.below, v.name)
-		if lasted(p.above, v.name, now) >= p.options.Raise {
-			return max(base, have+1)
-		}
-		return max(base, have)
-	case need < have && have > base:
-		delete(p.above, v.name)
-		if lasted(p.below, v.name, now) >= p.options.Lower {
-			return max(base, have-1)
-		}
-		return have
+// wanted returns the size that a pool should have: that of the preset in force, or else what its VMs were declared for. A spare pool
+// that the preset does not name keeps what no other pool needs.
+func wanted(c *fleet.Config, v poolView) int {
+	if size, ok := c.Preset().PoolSizes[v.name]; ok {
+		return size
 	}
-	delete(p.above, v.name)
-	delete(p.below, v.name)
-	return max(base, need)
+	return declared(c, v)
 }
 
-// declared returns the size of a pool that the preset does not name: what its VMs were declared for, or the least that it needs for a
-// spare pool.
 func declared(c *fleet.Config, v poolView) int {
 	if v.spare {
 		return v.min
@@ -153,23 +97,13 @@
 	return n
 }
 
-// lasted returns for how long a condition has held, and notes its start.
-func lasted(since map[string]time.Time, pool string, now time.Time) time.Duration {
-	start, ok := since[pool]
-	if !ok {
-		since[pool] = now
-		return 0
-	}
-	return now.Sub(start)
-}
-
 // neediest returns the pool that lacks most VMs. A spare pool takes back what others no longer need.
-func neediest(views map[string]poolView, arriving map[string]int) (poolView, bool) {
+func neediest(views map[string]poolView) (poolView, bool) {
 	var best poolView
 	bestLack := 0
 	for _, name := range sortedNames(views) {
 		v := views[name]
-		lack := v.wanted - len(v.members) - arriving[name]
+		lack := v.wanted - v.size
 		if lack > bestLack {
 			best, bestLack = v, lack
 		}
--- a/reconcile/proposals.go
+++ b/reconcile/proposals.go
@@ -79,8 +79,7 @@
 	r.o.Store.View(func(s *fleet.State) {
 		snapshot = pools.Snapshot{Layout: s.Layout, Config: s.Config, VMs: maps.Clone(s.VMs)}
 	})
-	snapshot.Busy = r.o.View.Demand()
-	move, ok := r.planner.Plan(snapshot, time.Now())
+	move, ok := pools.Plan(snapshot)
 	if !ok {
 		return
 	}
--- a/reconcile/reconcile.go
+++ b/reconcile/reconcile.go
@@ -17,7 +17,6 @@
 	"example.org/comfreyrouter/fleet"
 	"example.org/comfreyrouter/logclient"
 	"example.org/comfreyrouter/maintenance"
-	"example.org/comfreyrouter/pools"
 )
 
 // Servers is the part of the backend client that the reconciler needs.
@@ -39,8 +38,6 @@
 type View interface {
 	// Confirmed reports whether the state was confirmed by the log a moment ago.
 	Confirmed() bool
-	// Demand returns the slots that running and waiting requests need, by pool, fleet-wide.
-	Demand() map[string]int
 	// Busy returns the running tasks by backend server, fleet-wide.
 	Busy() map[string]int
 }
@@ -57,7 +54,6 @@
 	Logger      zerolog.Logger
 	Interval    time.Duration // time between two rounds
 	Timeout     time.Duration // bound on each call to a server or the platform
-	Planner     pools.Options
 	// DownAfter is how long a server must not answer before it is reported down.
 	DownAfter time.Duration
 }
@@ -78,9 +74,8 @@
 
 // Reconciler runs the rounds of one entry VM.
 type Reconciler struct {
-	o       Options
-	planner *pools.Planner
-	round   uint64
+	o     Options
+	round uint64
 
 	mu     sync.Mutex
 	silent map[string]time.Time // since when a server has not answered
@@ -97,10 +92,7 @@
 	if o.DownAfter == 0 {
 		o.DownAfter = DefaultDownAfter
 	}
-	if o.Planner == (pools.Options{}) {
-		o.Planner = pools.DefaultOptions()
-	}
-	return &Reconciler{o: o, planner: pools.NewPlanner(o.Planner), silent: map[string]time.Time{}}
+	return &Reconciler{o: o, silent: map[string]time.Time{}}
 }
 
 // Run runs rounds until ctx ends.
