--- a/reconcile/reconcile.go
+++ b/reconcile/reconcile.go
@@ -54,6 +54,8 @@
 	Logger      zerolog.Logger
 	Interval    time.Duration // time between two rounds
 	Timeout     time.Duration // bound on each call to a server or the platform
+	// Parallel bounds the servers that are called at one time, so that silent ones do not hold up a round.
+	Parallel int
 	// DownAfter is how long a server must not answer before it is reported down.
 	DownAfter time.Duration
 }
@@ -63,15 +65,13 @@
 	DefaultInterval  = time.Second
 	DefaultTimeout   = 2 * time.Second
 	DefaultDownAfter = 10 * time.Second
+	DefaultParallel  = 16
 )
 
 // servingRounds is the number of rounds after which a serving VM is looked at again. VMs in other phases are looked at in every round. It
 // keeps the control traffic of an entry VM within its bound at 600 servers.
 const servingRounds = 5
 
-// parallelSteps bounds the servers that are called at one time, so that silent ones do not hold up a round.
-const parallelSteps = 16
-
 // Reconciler runs the rounds of one entry VM.
 type Reconciler struct {
 	o     Options
@@ -92,6 +92,9 @@
 	if o.DownAfter == 0 {
 		o.DownAfter = DefaultDownAfter
 	}
+	if o.Parallel == 0 {
+		o.Parallel = DefaultParallel
+	}
 	return &Reconciler{o: o, silent: map[string]time.Time{}}
 }
 
@@ -122,7 +125,7 @@
 	r.round++
 	listed := r.listed(ctx)
 	var group errgroup.Group
-	group.SetLimit(parallelSteps)
+	group.SetLimit(r.o.Parallel)
 	for _, a := range r.assignments() {
 		if !r.due(a) {
 			continue
