Add strict settings of an entry VM

The YAML library's decoder stops at the first fault, so package strictyaml walks its syntax tree instead and reports every fault with file, line and column. Ruled out: running the decoder again after each fault, which needs edits of the source and loses places.

--- /dev/null
+++ b/internal/strictyaml/strictyaml.go
@@ -0,0 +1,172 @@
+// Package strictyaml decodes YAML files strictly. It reports all faults of a file in one run, each with file, line and
+// column, and remembers where each value stands, so that later checks can point there too. The decoder of the YAML
+// library stops at the first fault, so this package walks the library's syntax tree instead.
+package strictyaml
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
+)
+
+// Place is a position in a file. Line and Column count from 1; both are 0 for the file as a whole.
+type Place struct {
+	File   string
+	Line   int
+	Column int
+}
+
+// String returns "file:line:column".
+func (p Place) String() string {
+	if p.Line == 0 {
+		return p.File
+	}
+	return fmt.Sprintf("%s:%d:%d", p.File, p.Line, p.Column)
+}
+
+// Problem is one fault of a file.
+type Problem struct {
+	Place   Place
+	Message string
+}
+
+// String returns the place and the message.
+func (p Problem) String() string { return p.Place.String() + ": " + p.Message }
+
+// Problems are the faults of one or more files.
+type Problems []Problem
+
+// Error returns one line for each problem.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, problem := range p {
+		lines[i] = problem.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns the problems as an error in order of their places, or nil if there are none.
+func (p Problems) Err() error {
+	if len(p) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(p, func(a, b Problem) int {
+		return cmp.Or(
+			cmp.Compare(a.Place.File, b.Place.File),
+			cmp.Compare(a.Place.Line, b.Place.Line),
+			cmp.Compare(a.Place.Column, b.Place.Column),
+			cmp.Compare(a.Message, b.Message),
+		)
+	})
+	return p
+}
+
+// Places has the place of each value by its path, for example "teams.varmland.share". The path "" stands for the file.
+type Places map[string]Place
+
+// At returns the place of path, or that of the closest enclosing value that the file has.
+func (p Places) At(path string) Place {
+	for {
+		if place, ok := p[path]; ok {
+			return place
+		}
+		cut := strings.LastIndexByte(path, '.')
+		if cut < 0 {
+			return p[""]
+		}
+		path = path[:cut]
+	}
+}
+
+// Has reports whether the file has a value at path.
+func (p Places) Has(path string) bool {
+	_, ok := p[path]
+	return ok
+}
+
+// Decode decodes data into out, a pointer to a struct. Fields are named by their yaml tag or else their json tag. Fields
+// that the file does not name keep the value they had. Unknown fields, duplicate names, wrong types, anchors, aliases and
+// tags are problems. Decoding goes on after a problem. The places are nil if the file is not YAML at all, because checks
+// of its content would only add noise.
+func Decode(file string, data []byte, out any) (Places, Problems) {
+	d := &decoder{file: file, places: Places{"": {File: file}}}
+	body := d.parse(data)
+	if len(d.problems) > 0 {
+		return nil, d.problems
+	}
+	if body != nil {
+		d.value(body, "", reflect.ValueOf(out).Elem())
+	}
+	return d.places, d.problems
+}
+
+type decoder struct {
+	file     string
+	places   Places
+	problems Problems
+}
+
+// parse returns the body of the file's only document, or nil for an empty or malformed file.
+func (d *decoder) parse(data []byte) ast.Node {
+	if len(bytes.TrimSpace(data)) == 0 {
+		return nil
+	}
+	tree, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		d.syntaxError(err)
+		return nil
+	}
+	if len(tree.Docs) > 1 {
+		d.add(Place{File: d.file}, "has %d documents, but must have one", len(tree.Docs))
+		return nil
+	}
+	if len(tree.Docs) == 0 || tree.Docs[0].Body == nil {
+		return nil
+	}
+	return tree.Docs[0].Body
+}
+
+func (d *decoder) syntaxError(err error) {
+	var at yaml.Error
+	if errors.As(err, &at) && at.GetToken() != nil {
+		d.add(d.place(at.GetToken()), "%s", at.GetMessage())
+		return
+	}
+	d.add(Place{File: d.file}, "%s", err)
+}
+
+func (d *decoder) place(t *token.Token) Place {
+	if t == nil || t.Position == nil {
+		return Place{File: d.file}
+	}
+	return Place{File: d.file, Line: t.Position.Line, Column: t.Position.Column}
+}
+
+func (d *decoder) add(at Place, format string, args ...any) {
+	d.problems = append(d.problems, Problem{Place: at, Message: fmt.Sprintf(format, args...)})
+}
+
+// fault adds a problem at the start of a node, with the path of the value in front.
+func (d *decoder) fault(n ast.Node, path, format string, args ...any) {
+	message := fmt.Sprintf(format, args...)
+	if path != "" {
+		message = path + " " + message
+	}
+	d.add(d.place(n.GetToken()), "%s", message)
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
--- /dev/null
+++ b/internal/strictyaml/values.go
@@ -0,0 +1,248 @@
+package strictyaml
+
+import (
+	"net/netip"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml/ast"
+)
+
+var (
+	durationType = reflect.TypeFor[time.Duration]()
+	addrPortType = reflect.TypeFor[netip.AddrPort]()
+)
+
+func (d *decoder) value(n ast.Node, path string, v reflect.Value) {
+	switch n.(type) {
+	case *ast.AnchorNode, *ast.AliasNode, *ast.TagNode:
+		d.fault(n, path, "uses an anchor, an alias or a tag, which are not supported")
+		return
+	case *ast.NullNode:
+		d.null(n, path, v)
+		return
+	}
+	switch {
+	case v.Type() == durationType:
+		d.duration(n, path, v)
+		return
+	case v.Type() == addrPortType:
+		d.addrPort(n, path, v)
+		return
+	}
+	switch v.Kind() {
+	case reflect.Pointer:
+		if v.IsNil() {
+			v.Set(reflect.New(v.Type().Elem()))
+		}
+		d.value(n, path, v.Elem())
+	case reflect.Struct:
+		d.structure(n, path, v)
+	case reflect.Map:
+		d.mapping(n, path, v)
+	case reflect.Slice:
+		d.list(n, path, v)
+	default:
+		d.scalar(n, path, v)
+	}
+}
+
+// null accepts an empty section or list, and nothing else: a scalar without a value is most likely an unfinished edit.
+func (d *decoder) null(n ast.Node, path string, v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Map, reflect.Slice, reflect.Pointer:
+		return
+	}
+	d.fault(n, path, "has no value")
+}
+
+// pairs returns the entries of a mapping, and reports false with a problem for any other node.
+func (d *decoder) pairs(n ast.Node, path string) ([]*ast.MappingValueNode, bool) {
+	switch m := n.(type) {
+	case *ast.MappingNode:
+		return m.Values, true
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{m}, true
+	}
+	d.fault(n, path, "is not a mapping of names to values")
+	return nil, false
+}
+
+// entries calls fn for each entry of a mapping, with its name and path, and reports names that occur twice.
+func (d *decoder) entries(n ast.Node, path string, fn func(name, path string, pair *ast.MappingValueNode)) {
+	pairs, ok := d.pairs(n, path)
+	if !ok {
+		return
+	}
+	seen := map[string]Place{}
+	for _, pair := range pairs {
+		name := pair.Key.GetToken().Value
+		at := d.place(pair.Key.GetToken())
+		if first, ok := seen[name]; ok {
+			d.add(at, "%s is declared twice, first at %s", join(path, name), first)
+			continue
+		}
+		seen[name] = at
+		fn(name, join(path, name), pair)
+	}
+}
+
+// note remembers the place of a value: of the value itself for a scalar, of its name for anything else.
+func (d *decoder) note(path string, pair *ast.MappingValueNode) {
+	at := pair.Key.GetToken()
+	if _, ok := pair.Value.(ast.ScalarNode); ok && pair.Value.Type() != ast.NullType {
+		at = pair.Value.GetToken()
+	}
+	d.places[path] = d.place(at)
+}
+
+func (d *decoder) structure(n ast.Node, path string, v reflect.Value) {
+	fields := fieldsOf(v.Type())
+	d.entries(n, path, func(name, path string, pair *ast.MappingValueNode) {
+		index, ok := fields[name]
+		if !ok {
+			d.add(d.place(pair.Key.GetToken()), "%s is not a known field%s", path, suggestion(name, fields))
+			return
+		}
+		d.note(path, pair)
+		d.value(pair.Value, path, v.Field(index))
+	})
+}
+
+// fieldsOf returns the index of each field of a struct by its name in a file.
+func fieldsOf(t reflect.Type) map[string]int {
+	fields := map[string]int{}
+	for i := range t.NumField() {
+		f := t.Field(i)
+		tag, ok := f.Tag.Lookup("yaml")
+		if !ok {
+			tag = f.Tag.Get("json")
+		}
+		name, _, _ := strings.Cut(tag, ",")
+		if name != "" && name != "-" {
+			fields[name] = i
+		}
+	}
+	return fields
+}
+
+func suggestion(name string, fields map[string]int) string {
+	names := make([]string, 0, len(fields))
+	for f := range fields {
+		names = append(names, f)
+	}
+	slices.Sort(names)
+	return "; known fields are " + strings.Join(names, ", ")
+}
+
+func (d *decoder) mapping(n ast.Node, path string, v reflect.Value) {
+	if v.IsNil() {
+		v.Set(reflect.MakeMap(v.Type()))
+	}
+	d.entries(n, path, func(name, path string, pair *ast.MappingValueNode) {
+		d.note(path, pair)
+		if name == "" {
+			d.add(d.place(pair.Key.GetToken()), "%s has an empty name", path)
+			return
+		}
+		element := reflect.New(v.Type().Elem()).Elem()
+		d.value(pair.Value, path, element)
+		v.SetMapIndex(reflect.ValueOf(name), element)
+	})
+}
+
+func (d *decoder) list(n ast.Node, path string, v reflect.Value) {
+	sequence, ok := n.(*ast.SequenceNode)
+	if !ok {
+		d.fault(n, path, "is not a list")
+		return
+	}
+	v.Set(reflect.MakeSlice(v.Type(), 0, len(sequence.Values)))
+	for i, item := range sequence.Values {
+		itemPath := join(path, strconv.Itoa(i))
+		d.places[itemPath] = d.place(item.GetToken())
+		element := reflect.New(v.Type().Elem()).Elem()
+		d.value(item, itemPath, element)
+		v.Set(reflect.Append(v, element))
+	}
+}
+
+func (d *decoder) text(n ast.Node, path, want string) (string, bool) {
+	switch s := n.(type) {
+	case *ast.StringNode:
+		return s.Value, true
+	case *ast.LiteralNode:
+		return s.Value.Value, true
+	}
+	d.fault(n, path, "is %s, but must be %s", n.GetToken().Value, want)
+	return "", false
+}
+
+func (d *decoder) duration(n ast.Node, path string, v reflect.Value) {
+	const want = "a duration with a unit, for example 30s"
+	text, ok := d.text(n, path, want)
+	if !ok {
+		return
+	}
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		d.fault(n, path, "is %q, but must be %s", text, want)
+		return
+	}
+	v.SetInt(int64(parsed))
+}
+
+func (d *decoder) addrPort(n ast.Node, path string, v reflect.Value) {
+	const want = "an IP number and a port; host names are not looked up"
+	text, ok := d.text(n, path, want)
+	if !ok {
+		return
+	}
+	parsed, err := netip.ParseAddrPort(text)
+	if err != nil {
+		d.fault(n, path, "is %q, but must be %s", text, want)
+		return
+	}
+	v.Set(reflect.ValueOf(parsed))
+}
+
+func (d *decoder) scalar(n ast.Node, path string, v reflect.Value) {
+	switch v.Kind() {
+	case reflect.String:
+		if text, ok := d.text(n, path, "a text"); ok {
+			v.SetString(text)
+		}
+	case reflect.Bool:
+		b, ok := n.(*ast.BoolNode)
+		if !ok {
+			d.fault(n, path, "is %q, but must be true or false", n.GetToken().Value)
+			return
+		}
+		v.SetBool(b.Value)
+	case reflect.Int, reflect.Int64:
+		d.integer(n, path, v)
+	default:
+		d.fault(n, path, "has a type that files cannot hold: %s", v.Type())
+	}
+}
+
+func (d *decoder) integer(n ast.Node, path string, v reflect.Value) {
+	node, ok := n.(*ast.IntegerNode)
+	if !ok {
+		d.fault(n, path, "is %q, but must be a whole number", n.GetToken().Value)
+		return
+	}
+	switch i := node.Value.(type) {
+	case int64:
+		v.SetInt(i)
+	case uint64:
+		if i > 1<<62 {
+			d.fault(n, path, "is %d, which is too large", i)
+			return
+		}
+		v.SetInt(int64(i))
+	}
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,205 @@
+// Package settings reads the settings file of an entry VM's daemon. Settings say who the VM is and where it listens;
+// everything that the whole fleet agrees on is in the declarations instead.
+package settings
+
+import (
+	"encoding/hex"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"example.org/comfreyrouter/errkind"
+	"example.org/comfreyrouter/internal/strictyaml"
+)
+
+// Settings are the settings of one entry VM. All addresses are IP numbers with a port.
+type Settings struct {
+	Name       string `yaml:"name"`
+	DataCentre string `yaml:"data_centre"`
+
+	CallerAddress   netip.AddrPort `yaml:"caller_address"`   // listens for members' requests
+	OperatorAddress netip.AddrPort `yaml:"operator_address"` // listens for operators
+	PeerAddress     netip.AddrPort `yaml:"peer_address"`     // listens for other entry VMs
+
+	// Peers are the peer addresses asked first. The other members are learned from the log or from these peers.
+	Peers           []netip.AddrPort `yaml:"peers"`
+	PlatformAddress netip.AddrPort   `yaml:"platform_address"`
+
+	LogLevel string `yaml:"log_level"` // debug, info, warn or error
+	// OperatorTokenSHA256 is the SHA-256 of the operators' token in hexadecimal. Without it the operators' address takes
+	// calls without a token.
+	OperatorTokenSHA256 string `yaml:"operator_token_sha256"`
+	// DrainTimeout bounds how long a planned stop waits for the VM's requests.
+	DrainTimeout time.Duration `yaml:"drain_timeout"`
+	Limits       Limits        `yaml:"limits"`
+}
+
+// Limits bound the memory and the connections of one entry VM.
+type Limits struct {
+	MaxBodyBytes   int `yaml:"max_body_bytes"`   // largest request body, in bytes
+	MaxAnswerBytes int `yaml:"max_answer_bytes"` // largest answer of a backend server, in bytes
+	// MaxWaiting and MaxWaitingBytes bound the requests of all queues that wait on this VM, in number and in bytes.
+	MaxWaiting      int `yaml:"max_waiting"`
+	MaxWaitingBytes int `yaml:"max_waiting_bytes"`
+	// MaxCallerConnections and MaxOperatorConnections bound the connections that are open at one time.
+	MaxCallerConnections   int `yaml:"max_caller_connections"`
+	MaxOperatorConnections int `yaml:"max_operator_connections"`
+	// ConnectionsPerBackendServer bounds this VM's connections to one backend server.
+	ConnectionsPerBackendServer int `yaml:"connections_per_backend_server"`
+	// ResultsKept, ResultsKeptBytes and ResultsKeptFor bound the answers that are kept for later questions.
+	ResultsKept      int           `yaml:"results_kept"`
+	ResultsKeptBytes int           `yaml:"results_kept_bytes"`
+	ResultsKeptFor   time.Duration `yaml:"results_kept_for"`
+	MaxRequestIDs    int           `yaml:"max_request_ids"` // largest number of request ids issued by one call
+}
+
+// Defaults of the settings that may be left out.
+const (
+	DefaultLogLevel     = "info"
+	DefaultDrainTimeout = 60 * time.Second
+)
+
+// DefaultLimits returns limits for a fleet of 6 to 9 small entry VMs. Waiting bodies and kept answers take at most
+// 384 MiB together. A backend server has 64 connections, which 9 entry VMs share as 7 each.
+func DefaultLimits() Limits {
+	return Limits{
+		MaxBodyBytes:                1 << 20,
+		MaxAnswerBytes:              4 << 20,
+		MaxWaiting:                  4096,
+		MaxWaitingBytes:             256 << 20,
+		MaxCallerConnections:        4096,
+		MaxOperatorConnections:      64,
+		ConnectionsPerBackendServer: 7,
+		ResultsKept:                 20_000,
+		ResultsKeptBytes:            128 << 20,
+		ResultsKeptFor:              10 * time.Minute,
+		MaxRequestIDs:               1000,
+	}
+}
+
+// Load reads the settings file at path. The error of a faulty file has one line for each fault, with file, line and column.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errkind.Wrap(errkind.InvalidConfig, err)
+	}
+	return Parse(path, data)
+}
+
+// Parse decodes and checks the content of a settings file. The file name is used in messages only.
+func Parse(file string, data []byte) (Settings, error) {
+	s := Settings{LogLevel: DefaultLogLevel, DrainTimeout: DefaultDrainTimeout, Limits: DefaultLimits()}
+	places, problems := strictyaml.Decode(file, data, &s)
+	if places == nil {
+		return Settings{}, errkind.Wrap(errkind.InvalidConfig, problems.Err())
+	}
+	c := &checker{places: places, problems: problems}
+	c.required()
+	c.addresses(s)
+	c.values(s)
+	c.limits(s.Limits)
+	if err := c.problems.Err(); err != nil {
+		return Settings{}, errkind.Wrap(errkind.InvalidConfig, err)
+	}
+	return s, nil
+}
+
+type checker struct {
+	places   strictyaml.Places
+	problems strictyaml.Problems
+}
+
+func (c *checker) add(path, message string) {
+	c.problems = append(c.problems, strictyaml.Problem{Place: c.places.At(path), Message: path + " " + message})
+}
+
+var requiredFields = []string{
+	"name", "data_centre", "caller_address", "operator_address", "peer_address", "platform_address",
+}
+
+func (c *checker) required() {
+	for _, field := range requiredFields {
+		if !c.places.Has(field) {
+			c.add(field, "is missing")
+		}
+	}
+}
+
+// addresses checks that no two listeners share an address. Port 0 asks the system for a free port and may repeat.
+func (c *checker) addresses(s Settings) {
+	listeners := []struct {
+		field   string
+		address netip.AddrPort
+	}{
+		{"caller_address", s.CallerAddress},
+		{"operator_address", s.OperatorAddress},
+		{"peer_address", s.PeerAddress},
+	}
+	owner := map[netip.AddrPort]string{}
+	for _, l := range listeners {
+		if !l.address.IsValid() || l.address.Port() == 0 {
+			continue
+		}
+		if other, ok := owner[l.address]; ok {
+			c.add(l.field, "is the same as "+other)
+			continue
+		}
+		owner[l.address] = l.field
+	}
+}
+
+func (c *checker) values(s Settings) {
+	if c.places.Has("name") && s.Name == "" {
+		c.add("name", "is empty")
+	}
+	if c.places.Has("data_centre") && s.DataCentre == "" {
+		c.add("data_centre", "is empty")
+	}
+	level, err := zerolog.ParseLevel(s.LogLevel)
+	if err != nil || level < zerolog.DebugLevel || level > zerolog.ErrorLevel {
+		c.add("log_level", "must be debug, info, warn or error")
+	}
+	if s.OperatorTokenSHA256 != "" && !isSHA256(s.OperatorTokenSHA256) {
+		c.add("operator_token_sha256", "is not a SHA-256 in hexadecimal")
+	}
+	if s.DrainTimeout <= 0 {
+		c.add("drain_timeout", "must be above 0")
+	}
+}
+
+// sha256Bytes is the length of a SHA-256.
+const sha256Bytes = 32
+
+func isSHA256(text string) bool {
+	sum, err := hex.DecodeString(text)
+	return err == nil && len(sum) == sha256Bytes
+}
+
+func (c *checker) limits(l Limits) {
+	counts := []struct {
+		field string
+		value int
+	}{
+		{"max_body_bytes", l.MaxBodyBytes},
+		{"max_answer_bytes", l.MaxAnswerBytes},
+		{"max_waiting", l.MaxWaiting},
+		{"max_waiting_bytes", l.MaxWaitingBytes},
+		{"max_caller_connections", l.MaxCallerConnections},
+		{"max_operator_connections", l.MaxOperatorConnections},
+		{"connections_per_backend_server", l.ConnectionsPerBackendServer},
+		{"results_kept", l.ResultsKept},
+		{"results_kept_bytes", l.ResultsKeptBytes},
+		{"results_kept_for", int(l.ResultsKeptFor)},
+		{"max_request_ids", l.MaxRequestIDs},
+	}
+	for _, n := range counts {
+		if n.value <= 0 {
+			c.add("limits."+n.field, "must be above 0")
+		}
+	}
+	if l.MaxWaitingBytes < l.MaxBodyBytes {
+		c.add("limits.max_waiting_bytes", "is below limits.max_body_bytes, so the largest request could never wait")
+	}
+}
