--- /dev/null
+++ b/declare/declare.go
@@ -0,0 +1,228 @@
+// Package declare reads the declarations of a fleet, which operators keep in version control, and computes the changes
+// that bring a configuration in line with them.
+//
+// Keys are not declared. They are secrets, and a hash in version control would stay in its history after a withdrawal, so
+// keys are given and withdrawn by command only. The preset in force is not declared either: operators choose it by
+// command, and an apply must not undo their choice.
+package declare
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"example.org/comfreyrouter/errkind"
+	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/internal/strictyaml"
+)
+
+// Declarations are what the files of a directory declare.
+type Declarations struct {
+	// Config has everything that is declared. Its version and keys are empty, and its preset in force is InForceAtStart.
+	Config *fleet.Config
+	// InForceAtStart is the preset that the first apply on an empty fleet puts in force.
+	InForceAtStart string
+}
+
+// file is the content of one file. Any file may hold any of the sections.
+type file struct {
+	InForceAtStart string                         `yaml:"in_force_at_start"`
+	Presets        map[string]fleet.Preset        `yaml:"presets"`
+	Teams          map[string]fleet.Team          `yaml:"teams"`
+	Queues         map[string]fleet.Queue         `yaml:"queues"`
+	Pools          map[string]fleet.Pool          `yaml:"pools"`
+	Services       map[string]fleet.Service       `yaml:"services"`
+	Centres        map[string]fleet.DataCentre    `yaml:"data_centres"`
+	Racks          map[string]fleet.Rack          `yaml:"racks"`
+	Servers        map[string]fleet.BackendServer `yaml:"backend_servers"`
+	EntryVMs       map[string]fleet.EntryVM       `yaml:"entry_vms"`
+	Policy         fleet.Policy                   `yaml:"policy"`
+	// Keys and InForce are read only to refuse them with their reason.
+	Keys    notDeclared `yaml:"keys"`
+	InForce notDeclared `yaml:"in_force"`
+}
+
+// notDeclared takes any value and ignores it.
+type notDeclared struct{}
+
+// Load reads all .yaml and .yml files below dir, except hidden ones, and checks them together. The error has one line for
+// each fault of any file, with file, line and column.
+func Load(dir string) (*Declarations, error) {
+	names, err := yamlFiles(dir)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.InvalidConfig, err)
+	}
+	if len(names) == 0 {
+		return nil, errkind.New(errkind.InvalidConfig, "%s: no .yaml file", dir)
+	}
+	l := newLoader(dir)
+	for _, name := range names {
+		if err := l.readFile(name); err != nil {
+			return nil, errkind.Wrap(errkind.InvalidConfig, err)
+		}
+	}
+	return l.finish()
+}
+
+func yamlFiles(dir string) ([]string, error) {
+	var names []string
+	err := filepath.WalkDir(dir, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		hidden := path != dir && strings.HasPrefix(entry.Name(), ".")
+		if hidden && entry.IsDir() {
+			return fs.SkipDir
+		}
+		extension := filepath.Ext(path)
+		if !hidden && !entry.IsDir() && (extension == ".yaml" || extension == ".yml") {
+			names = append(names, path)
+		}
+		return nil
+	})
+	return names, err
+}
+
+type loader struct {
+	dir          string
+	declarations *Declarations
+	places       strictyaml.Places
+	problems     strictyaml.Problems
+	unreadable   bool // a file has faults that leave its content incomplete
+}
+
+func newLoader(dir string) *loader {
+	return &loader{
+		dir:          dir,
+		declarations: &Declarations{Config: fleet.NewConfig()},
+		places:       strictyaml.Places{"": {File: dir}},
+	}
+}
+
+func (l *loader) readFile(name string) error {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return err
+	}
+	f := file{Policy: fleet.NewConfig().Policy}
+	places, problems := strictyaml.Decode(name, data, &f)
+	l.problems = append(l.problems, problems...)
+	if places == nil {
+		l.unreadable = true
+		return nil
+	}
+	l.refuse(places)
+	l.merge(&f, places)
+	return nil
+}
+
+func (l *loader) add(at strictyaml.Place, message string) {
+	l.problems = append(l.problems, strictyaml.Problem{Place: at, Message: message})
+}
+
+func (l *loader) refuse(places strictyaml.Places) {
+	if places.Has("keys") {
+		l.add(places.At("keys"), "keys are secrets and are not declared; use comfreyctl key give and key withdraw")
+	}
+	if places.Has("in_force") {
+		l.add(places.At("in_force"), "the preset in force is not declared; use comfreyctl preset use, or in_force_at_start for a new fleet")
+	}
+}
+
+func (l *loader) merge(f *file, places strictyaml.Places) {
+	c := l.declarations.Config
+	mergeSection(l, "presets", c.Presets, f.Presets, places)
+	mergeSection(l, "teams", c.Teams, f.Teams, places)
+	mergeSection(l, "queues", c.Queues, f.Queues, places)
+	mergeSection(l, "pools", c.Pools, f.Pools, places)
+	mergeSection(l, "services", c.Services, f.Services, places)
+	mergeSection(l, "data_centres", c.Centres, f.Centres, places)
+	mergeSection(l, "racks", c.Racks, f.Racks, places)
+	mergeSection(l, "backend_servers", c.Servers, f.Servers, places)
+	mergeSection(l, "entry_vms", c.EntryVMs, f.EntryVMs, places)
+	if places.Has("policy") && l.first("policy", places) {
+		c.Policy = f.Policy
+	}
+	if places.Has("in_force_at_start") && l.first("in_force_at_start", places) {
+		l.declarations.InForceAtStart = f.InForceAtStart
+	}
+	for path, place := range places {
+		if !l.places.Has(path) {
+			l.places[path] = place
+		}
+	}
+}
+
+// first reports whether path is declared for the first time, and otherwise adds a problem that names both places.
+func (l *loader) first(path string, places strictyaml.Places) bool {
+	if !l.places.Has(path) {
+		return true
+	}
+	l.add(places.At(path), path+" is declared twice, first at "+l.places.At(path).String())
+	return false
+}
+
+func mergeSection[T any](l *loader, section string, into, from map[string]T, places strictyaml.Places) {
+	for name, value := range from {
+		if l.first(section+"."+name, places) {
+			into[name] = value
+		}
+	}
+}
+
+// finish checks the declarations of all files together. The check is left out if a file could not be read, because
+// everything that refers to it would be reported as missing.
+func (l *loader) finish() (*Declarations, error) {
+	if !l.unreadable {
+		l.chooseStart()
+		l.validate()
+		l.checkSizes()
+	}
+	if err := l.problems.Err(); err != nil {
+		return nil, errkind.Wrap(errkind.InvalidConfig, err)
+	}
+	return l.declarations, nil
+}
+
+// chooseStart settles the preset in force at the start: the declared one or the only one.
+func (l *loader) chooseStart() {
+	d := l.declarations
+	switch {
+	case len(d.Config.Presets) == 0:
+		l.add(l.places.At(""), "no preset is declared")
+	case d.InForceAtStart == "" && len(d.Config.Presets) > 1:
+		l.add(l.places.At("presets"), "in_force_at_start is missing: there are several presets")
+	case d.InForceAtStart == "":
+		for name := range d.Config.Presets {
+			d.InForceAtStart = name
+		}
+	}
+	d.Config.InForce = d.InForceAtStart
+}
+
+func (l *loader) validate() {
+	for _, p := range l.declarations.Config.Validate() {
+		path := p.Path
+		if path == "in_force" {
+			path = "in_force_at_start"
+		}
+		l.add(l.places.At(path), path+" "+p.Message)
+	}
+}
+
+// checkSizes refuses presets that want more VMs than are declared. The fold accepts them, because VMs may be declared
+// later, but nothing could ever bring such a preset about.
+func (l *loader) checkSizes() {
+	c := l.declarations.Config
+	for name, preset := range c.Presets {
+		sum := 0
+		for _, size := range preset.PoolSizes {
+			sum += size
+		}
+		if sum > len(c.Servers) {
+			path := "presets." + name + ".pool_sizes"
+			l.add(l.places.At(path), path+" adds up to more VMs than the declared backend servers")
+		}
+	}
+}
--- a/internal/strictyaml/values.go
+++ b/internal/strictyaml/values.go
@@ -55,6 +55,10 @@
 	switch v.Kind() {
 	case reflect.Map, reflect.Slice, reflect.Pointer:
 		return
+	case reflect.Struct:
+		if v.NumField() == 0 {
+			return
+		}
 	}
 	d.fault(n, path, "has no value")
 }
@@ -99,7 +103,11 @@
 	d.places[path] = d.place(at)
 }
 
+// structure decodes into a struct. A struct without fields takes any value, for fields that are read only to be refused.
 func (d *decoder) structure(n ast.Node, path string, v reflect.Value) {
+	if v.NumField() == 0 {
+		return
+	}
 	fields := fieldsOf(v.Type())
 	d.entries(n, path, func(name, path string, pair *ast.MappingValueNode) {
 		index, ok := fields[name]
