--- /dev/null
+++ b/operatorapi/server.go
@@ -0,0 +1,212 @@
+// Package operatorapi serves the operators' HTTP interface of an entry VM. Reads are answered from the VM's own state;
+// changes go through the platform's log.
+package operatorapi
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rs/zerolog"
+
+	"example.org/comfreyrouter/errkind"
+	"example.org/comfreyrouter/events"
+	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/logclient"
+)
+
+// Status tells how the answering entry VM is.
+type Status interface {
+	NodeStatus() NodeStatus
+}
+
+// Withdrawals bars keys on this VM before and even without the log. The implementation carries them to the peers by
+// heartbeat.
+type Withdrawals interface {
+	Withdraw(keyID string)
+}
+
+// Options are the parts of a Server. The first four are needed.
+type Options struct {
+	Store       *fleet.Store
+	Submitter   logclient.Submitter
+	Status      Status
+	Withdrawals Withdrawals
+	// TokenSHA256 is the SHA-256 of the operators' token in hexadecimal. Empty takes calls without a token.
+	TokenSHA256 string
+	// SubmitTimeout bounds the wait for the log; 0 stands for DefaultSubmitTimeout.
+	SubmitTimeout time.Duration
+	// Refused counts a call that is not answered with success, by its kind; nil for none.
+	Refused func(errkind.Kind)
+	Logger  zerolog.Logger
+}
+
+const (
+	// DefaultSubmitTimeout is within the 14 s in which a change has to be in force everywhere.
+	DefaultSubmitTimeout = 10 * time.Second
+	// maxBodyBytes holds the declarations of 600 backend servers, at about 250 bytes each, many times over.
+	maxBodyBytes = 4 << 20
+	// maxIDBytes bounds the ids that the fold remembers.
+	maxIDBytes = 128
+	// readHeaderTimeout and shutdownTimeout bound idle connections and the wait for calls at a planned stop.
+	readHeaderTimeout = 5 * time.Second
+	shutdownTimeout   = DefaultSubmitTimeout + time.Second
+)
+
+// Server is the operators' interface of one entry VM.
+type Server struct {
+	options Options
+	echo    *echo.Echo
+}
+
+// New returns a server that is ready to serve.
+func New(o Options) *Server {
+	if o.SubmitTimeout == 0 {
+		o.SubmitTimeout = DefaultSubmitTimeout
+	}
+	if o.Refused == nil {
+		o.Refused = func(errkind.Kind) {}
+	}
+	s := &Server{options: o, echo: echo.New()}
+	s.echo.HideBanner = true
+	s.echo.HidePort = true
+	s.echo.HTTPErrorHandler = s.answerError
+	s.routes()
+	return s
+}
+
+// ServeHTTP answers one call.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.echo.ServeHTTP(w, r) }
+
+// Serve answers calls on a listener until ctx ends, and then finishes the calls in progress.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	server := &http.Server{Handler: s, ReadHeaderTimeout: readHeaderTimeout}
+	stopped := make(chan error, 1)
+	stop := context.AfterFunc(ctx, func() {
+		wait, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+		defer cancel()
+		stopped <- server.Shutdown(wait)
+	})
+	err := server.Serve(l)
+	if stop() {
+		return err
+	}
+	return <-stopped
+}
+
+func (s *Server) routes() {
+	v1 := s.echo.Group("/v1", s.authenticate)
+	v1.GET("/config", s.config)
+	v1.GET("/presets", s.presets)
+	v1.GET("/presets/:name", s.preset)
+	v1.POST("/presets/:name/use", s.usePreset)
+	v1.GET("/keys", s.keys)
+	v1.POST("/keys", s.giveKey)
+	v1.POST("/keys/:name/withdraw", s.withdrawKey)
+	v1.GET("/teams", s.teams)
+	v1.PUT("/teams/:name", s.setTeam)
+	v1.GET("/pools", s.pools)
+	v1.GET("/vms", s.vms)
+	v1.POST("/moves", s.startMove)
+	v1.POST("/moves/:name/abandon", s.abandonMove)
+	v1.GET("/waves", s.waves)
+	v1.POST("/waves", s.planWave)
+	v1.POST("/waves/:name/start", s.startWave)
+	v1.POST("/waves/:name/pause", s.pauseWave)
+	v1.GET("/status", s.status)
+	v1.POST("/apply", s.apply)
+}
+
+// authenticate checks the bearer token. The hashes are compared in constant time, and the token itself is kept nowhere.
+func (s *Server) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
+	want := []byte(strings.ToLower(s.options.TokenSHA256))
+	return func(c echo.Context) error {
+		if len(want) == 0 {
+			return next(c)
+		}
+		token, _ := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
+		sum := sha256.Sum256([]byte(token))
+		got := []byte(hex.EncodeToString(sum[:]))
+		if subtle.ConstantTimeCompare(got, want) != 1 {
+			return errkind.New(errkind.Unauthorized, "%s", errkind.Lookup(errkind.Unauthorized).Text)
+		}
+		return next(c)
+	}
+}
+
+func (s *Server) answerError(err error, c echo.Context) {
+	f := failureOf(err)
+	s.options.Refused(f.Kind)
+	events.Log(s.options.Logger, events.OperatorRefused, f.Kind, f.Message)
+	if c.Response().Committed {
+		return
+	}
+	// A failed write means that the operator has gone; there is nobody left to tell.
+	_ = c.JSON(errkind.Lookup(f.Kind).Status, f)
+}
+
+func failureOf(err error) *Failure {
+	var f *Failure
+	if errors.As(err, &f) {
+		return f
+	}
+	var h *echo.HTTPError
+	if errors.As(err, &h) {
+		return failureOfRoute(h)
+	}
+	kind := errkind.Of(err)
+	message := strings.TrimPrefix(err.Error(), string(kind)+": ")
+	return &Failure{Kind: kind, Message: message}
+}
+
+// failureOfRoute maps the errors of the router: an unknown path or method.
+func failureOfRoute(h *echo.HTTPError) *Failure {
+	switch h.Code {
+	case http.StatusNotFound:
+		return &Failure{Kind: errkind.NotFound, Message: "no such path"}
+	case http.StatusMethodNotAllowed:
+		return &Failure{Kind: errkind.BadRequest, Message: "the path does not take this method"}
+	}
+	return &Failure{Kind: errkind.Internal, Message: h.Error()}
+}
+
+// bind decodes the body strictly, so that a misspelled field is not taken for one left out.
+func bind(c echo.Context, into any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(into)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return errkind.New(errkind.BodyTooLarge, "the body is over %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return errkind.New(errkind.BadRequest, "the body is not valid: %s", err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errkind.New(errkind.BadRequest, "the body has more than one value")
+	}
+	return nil
+}
+
+// name returns the name in the path. The router leaves it escaped if the path has escapes.
+func name(c echo.Context) (string, error) {
+	value := c.Param("name")
+	if c.Request().URL.RawPath == "" {
+		return value, nil
+	}
+	plain, err := url.PathUnescape(value)
+	if err != nil {
+		return "", errkind.New(errkind.BadRequest, "the path is not valid: %s", err)
+	}
+	return plain, nil
+}
