--- a/operatorapi/server_test.go
+++ b/operatorapi/server_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -14,48 +13,10 @@
 	"github.com/stretchr/testify/require"
 
 	"example.org/comfreyrouter/errkind"
-	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/internal/standin/foldlog"
 	"example.org/comfreyrouter/keys"
 )
 
-// foldingLog folds commands into a store at once. It can be down, or lose the answer of the next command.
-type foldingLog struct {
-	mu         sync.Mutex
-	store      *fleet.Store
-	offset     uint64
-	results    []fleet.Result
-	down       bool
-	loseAnswer bool
-}
-
-func newFoldingLog() *foldingLog {
-	l := &foldingLog{store: fleet.NewStore()}
-	l.store.OnApplied(func(a fleet.Applied) { l.results = a.Results })
-	l.fold(fleet.Command{Join: &fleet.Join{VM: "entry-1"}})
-	return l
-}
-
-func (l *foldingLog) fold(commands ...fleet.Command) []fleet.Result {
-	l.offset++
-	l.store.Apply(l.offset, fleet.Batch{Writer: "w", Seq: l.offset, Commands: commands})
-	return l.results
-}
-
-func (l *foldingLog) Submit(_ context.Context, commands ...fleet.Command) ([]fleet.Result, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	lost := errkind.New(errkind.LogUnavailable, "no answer")
-	if l.down {
-		return nil, lost
-	}
-	results := l.fold(commands...)
-	if l.loseAnswer {
-		l.loseAnswer = false
-		return nil, lost
-	}
-	return results, nil
-}
-
 type barred map[string]bool
 
 func (b barred) Withdraw(id string) { b[id] = true }
@@ -64,15 +25,15 @@
 
 type rig struct {
 	t      *testing.T
-	log    *foldingLog
+	log    *foldlog.Log
 	barred barred
 	server *Server
 }
 
 // newRig returns a server over a fleet at version 1 with two presets, a team, a key and two pools.
 func newRig(t *testing.T, token string) *rig {
-	r := &rig{t: t, log: newFoldingLog(), barred: barred{}}
-	r.server = New(Options{Store: r.log.store, Submitter: r.log, Status: r.barred, Withdrawals: r.barred, TokenSHA256: token, Logger: zerolog.Nop()})
+	r := &rig{t: t, log: foldlog.New(), barred: barred{}}
+	r.server = New(Options{Store: r.log.Store, Submitter: r.log, Status: r.barred, Withdrawals: r.barred, TokenSHA256: token, Logger: zerolog.Nop()})
 	changes := `[{"preset":{"name":"ordinary","value":{}}}, {"preset":{"name":"peak","value":{}}},
 		{"team":{"name":"dalarna","value":{"share":1,"limit":10}}}, {"give_key":{"name":"k1","value":{"team":"dalarna","hash":"` + keys.Hash("secret") + `"}}},
 		{"data_centre":{"name":"falun","value":{"max_unavailable":2}}}, {"rack":{"name":"f1","value":{"data_centre":"falun","max_unavailable":2}}},
@@ -136,16 +97,16 @@
 func TestRepeatAfterALostAnswerHasOneEffect(t *testing.T) {
 	r := newRig(t, "")
 	give := `{"id":"give","expect":1,"key_id":"k2","team":"dalarna","hash":"` + keys.Hash("other") + `"}`
-	r.log.loseAnswer = true
+	r.log.LoseAnswers(1)
 	f := r.refused(r.call("POST", "/v1/keys", give), errkind.LogUnavailable)
 	require.Contains(t, f.Message, "the same call may be repeated")
 	r.accepted(r.call("POST", "/v1/keys", give), 2)
-	require.Len(t, r.log.store.Config().Keys, 2)
+	require.Len(t, r.log.Store.Config().Keys, 2)
 
 	var list VMList
 	require.NoError(t, json.Unmarshal(r.call("GET", "/v1/vms", "").Body.Bytes(), &list))
 	move := string(must(json.Marshal(StartMove{VM: "vm1", To: "b", Epoch: list.VMs[0].VM.Epoch, Layout: list.Layout})))
-	r.log.loseAnswer = true
+	r.log.LoseAnswers(1)
 	r.refused(r.call("POST", "/v1/moves", move), errkind.LogUnavailable)
 	r.accepted(r.call("POST", "/v1/moves", move), 2)
 	abandon := string(must(json.Marshal(AbandonMove{Epoch: list.VMs[0].VM.Epoch + 1, Pool: "a"})))
@@ -157,14 +118,14 @@
 // Guards against a withdrawn key that goes on working on this VM while the log is down.
 func TestWithdrawalTakesEffectHereWithoutTheLog(t *testing.T) {
 	r := newRig(t, "")
-	r.log.down = true
+	r.log.SetDown(true)
 	r.refused(r.call("POST", "/v1/keys/k1/withdraw", `{"id":"w"}`), errkind.LogUnavailable)
 	require.True(t, r.barred["k1"])
-	r.log.down = false
+	r.log.SetDown(false)
 	r.refused(r.call("POST", "/v1/keys/typo/withdraw", `{"id":"t"}`), errkind.NotFound)
 	require.False(t, r.barred["typo"], "an id that the log does not know is not barred")
 	r.accepted(r.call("POST", "/v1/keys/k1/withdraw", `{"id":"w"}`), 2)
-	require.True(t, r.log.store.Config().Keys["k1"].Withdrawn)
+	require.True(t, r.log.Store.Config().Keys["k1"].Withdrawn)
 }
 
 // Guards against hashes of keys at the operators' interface, and against bodies whose faults pass unnoticed.
