Test declarations beyond the fold's own checks, withdrawals and the planned stop

Trial mutations showed that no test failed without checkSizes, chooseStart, the place of a missing field, or either of the two places where a withdrawal bars the key; each now has a test that fails without it.

--- a/declare/declare_test.go
+++ b/declare/declare_test.go
@@ -79,6 +79,24 @@
 	}
 }
 
+// Guards against declarations that check accepts and that can never be brought about, and against faults of a field that
+// is missing, whose place is that of its object.
+func TestFaultsBeyondTheFoldsOwn(t *testing.T) {
+	for _, c := range []struct{ content, want string }{
+		{"presets:\n  a: {}\n  b: {}\n", "a.yaml:1:1: in_force_at_start is missing"},
+		{"in_force_at_start: c\npresets: {a: {}}\n", `a.yaml:1:20: in_force_at_start preset "c" does not exist`},
+		{"presets: {a: {pool_sizes: {p: 1}}}\npools: {p: {min: 0}}\n", "a.yaml:1:15: presets.a.pool_sizes adds up to more VMs"},
+		{"presets: {a: {}}\nracks:\n  f1: {max_unavailable: 1}\n", `a.yaml:3:3: racks.f1.data_centre data centre "" does not exist`},
+		{"teams: {}\n", "no preset is declared"},
+	} {
+		_, err := Load(write(t, map[string]string{"a.yaml": c.content}))
+		require.ErrorContains(t, err, c.want)
+	}
+	d, err := Load(write(t, map[string]string{"a.yaml": "presets: {only: {}}\n"}))
+	require.NoError(t, err)
+	require.Equal(t, "only", d.InForceAtStart)
+}
+
 // Guards against differences that an operator cannot read before saying yes.
 func TestRenderNamesWhatChanges(t *testing.T) {
 	current := fleet.NewConfig()
--- a/internal/standin/foldlog/foldlog.go
+++ b/internal/standin/foldlog/foldlog.go
@@ -19,6 +19,7 @@
 	results []fleet.Result
 	down    bool
 	losses  int
+	before  func()
 }
 
 // New returns a log whose only record is the join of an entry VM.
@@ -43,10 +44,20 @@
 	l.losses = n
 }
 
+// OnSubmit registers a function that is called before each submission; nil for none.
+func (l *Log) OnSubmit(fn func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.before = fn
+}
+
 // Submit folds the commands at once.
 func (l *Log) Submit(_ context.Context, commands ...fleet.Command) ([]fleet.Result, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.before != nil {
+		l.before()
+	}
 	if l.down {
 		return nil, errkind.New(errkind.LogUnavailable, "the log is down")
 	}
--- a/operatorapi/server_test.go
+++ b/operatorapi/server_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -119,8 +121,11 @@
 func TestWithdrawalTakesEffectHereWithoutTheLog(t *testing.T) {
 	r := newRig(t, "")
 	r.log.SetDown(true)
+	r.log.OnSubmit(func() { require.True(t, r.barred["k1"], "the key is barred before the log is asked") })
 	r.refused(r.call("POST", "/v1/keys/k1/withdraw", `{"id":"w"}`), errkind.LogUnavailable)
-	require.True(t, r.barred["k1"])
+	r.log.OnSubmit(nil)
+	r.refused(r.call("POST", "/v1/keys/newer/withdraw", `{"id":"n"}`), errkind.LogUnavailable)
+	require.True(t, r.barred["newer"], "a key that this VM may not have read yet is barred too")
 	r.log.SetDown(false)
 	r.refused(r.call("POST", "/v1/keys/typo/withdraw", `{"id":"t"}`), errkind.NotFound)
 	require.False(t, r.barred["typo"], "an id that the log does not know is not barred")
@@ -163,3 +168,20 @@
 	r.refused(r.call("POST", "/v1/waves/w2/start", ``), errkind.NotFound)
 	require.Contains(t, r.call("GET", "/v1/waves", "").Body.String(), `"state":"running"`)
 }
+
+// Guards against a planned stop that is reported as a failure or leaves the listener open.
+func TestServeEndsWithItsContext(t *testing.T) {
+	r := newRig(t, "")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- r.server.Serve(ctx, listener) }()
+	response, err := http.Get("http://" + listener.Addr().String() + "/v1/status")
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	cancel()
+	require.NoError(t, <-ended)
+	_, err = net.Dial("tcp", listener.Addr().String())
+	require.Error(t, err)
+}
