Fix removals of several VMs at once, and three smaller faults of the fold

(1) Removed servers were checked one by one against the VMs before the change, so one change could take a pool below its minimum; the whole change is checked now. (2) A pool could be removed while a VM was in it or moved to it. (3) A repeated change returned the version in force instead of that of its first result. (4) A team with a withdrawn key could never be removed.

--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -24,7 +24,9 @@
 	results := make([]Result, len(b.Commands))
 	for i, c := range b.Commands {
 		results[i] = s.applyCommand(b.Writer, b.Seq, c)
-		results[i].Version = max(results[i].Version, s.Config.Version)
+		if results[i].Version == 0 {
+			results[i].Version = s.Config.Version
+		}
 	}
 	return results
 }
--- a/fleet/apply_config.go
+++ b/fleet/apply_config.go
@@ -44,10 +44,13 @@
 	}
 	next := s.Config.Clone()
 	for _, change := range c.Changes {
-		if r := s.change(next, change); !r.OK() {
+		if r := applyChange(next, change); !r.OK() {
 			return r
 		}
 	}
+	if r := s.checkVMs(next); !r.OK() {
+		return r
+	}
 	if problems := next.Validate(); len(problems) > 0 {
 		return reject(errkind.InvalidConfig, "%s", joinProblems(problems))
 	}
@@ -76,7 +79,7 @@
 	return strings.Join(lines, "; ")
 }
 
-func (s *State) change(next *Config, c Change) Result {
+func applyChange(next *Config, c Change) Result {
 	switch {
 	case c.InForce != nil:
 		if _, ok := next.Presets[*c.InForce]; !ok {
@@ -102,7 +105,7 @@
 	case c.Rack != nil:
 		set(next.Racks, c.Rack)
 	case c.Server != nil:
-		return s.setServer(next, c.Server)
+		set(next.Servers, c.Server)
 	case c.EntryVM != nil:
 		set(next.EntryVMs, c.EntryVM)
 	case c.Policy != nil:
@@ -144,21 +147,36 @@
 	return Result{}
 }
 
-// setServer changes a declaration of a backend server. A new VM enters its declared pool; the pool of a VM that the
-// fold knows changes by a move only, because it may be running tasks.
-func (s *State) setServer(next *Config, o *Object[BackendServer]) Result {
-	if o.Value == nil {
-		if vm, ok := s.VMs[o.Name]; ok && vm.Available() {
-			if r := s.checkBudgets(next, o.Name); !r.OK() {
-				return r
+// checkVMs rejects a configuration without the pool of a VM that stays, and one whose removed VMs together leave a pool with fewer
+// available VMs than it needs.
+func (s *State) checkVMs(next *Config) Result {
+	left := map[string]int{}
+	removed := map[string]bool{}
+	for _, name := range sortedKeys(s.VMs) {
+		vm := s.VMs[name]
+		if _, stays := next.Servers[name]; !stays {
+			removed[vm.Pool] = removed[vm.Pool] || vm.Available()
+			continue
+		}
+		for _, pool := range []string{vm.Pool, vm.MoveTo} {
+			if _, ok := next.Pools[pool]; !ok && pool != "" {
+				return reject(errkind.InvalidConfig, "pools.%s: VM %q belongs to the pool or moves to it", pool, name)
 			}
 		}
+		if vm.Available() {
+			left[vm.Pool]++
+		}
+	}
+	for _, pool := range sortedKeys(removed) {
+		if need := next.Pools[pool].Min; removed[pool] && left[pool] < need {
+			return reject(errkind.BudgetExceeded, "pool %q needs %d VMs and would have %d", pool, need, left[pool])
+		}
 	}
-	set(next.Servers, o)
 	return Result{}
 }
 
-// syncVMs gives each newly declared backend server a VM in its declared pool and drops the VMs that are no longer declared.
+// syncVMs gives each newly declared backend server a VM in its declared pool and drops the VMs that are no longer declared. The pool of a VM
+// that the fold knows changes by a move only, because it may be running tasks.
 func (s *State) syncVMs() {
 	for name, server := range s.Config.Servers {
 		if _, ok := s.VMs[name]; !ok {
--- /dev/null
+++ b/fleet/apply_config_test.go
@@ -0,0 +1,61 @@
+package fleet_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"example.org/comfreyrouter/errkind"
+	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/internal/samplefleet"
+)
+
+// configure applies changes for the version in force.
+func configure(s *fleet.State, id string, changes ...fleet.Change) fleet.Result {
+	c := &fleet.Configure{ID: id, Expect: s.Config.Version, Changes: changes}
+	return s.Apply(s.Offset+1, fleet.Batch{Writer: "x", Commands: []fleet.Command{{Configure: c}}})[0]
+}
+
+func removeServer(name string) fleet.Change {
+	return fleet.Change{Server: &fleet.Object[fleet.BackendServer]{Name: name}}
+}
+
+// TestConfigureKeepsBudgetsAndPools guards against a change that removes several VMs of a pool at once, or the pool of a VM.
+func TestConfigureKeepsBudgetsAndPools(t *testing.T) {
+	s, err := samplefleet.State(samplefleet.Size{Servers: 8, Pools: 2, Teams: 1, EntryVMs: 1, DataCentres: 1, Regions: 1})
+	require.NoError(t, err)
+	r := configure(s, "a", removeServer("server-000"), removeServer("server-002"), removeServer("server-004"))
+	assert.Equal(t, errkind.BudgetExceeded, r.Kind, "the pool needs two of its four VMs")
+	assert.True(t, configure(s, "b", removeServer("server-000"), removeServer("server-002")).OK())
+
+	moved := s.VMs["server-001"]
+	moved.MoveTo, moved.Phase = "pool-000", fleet.Moving
+	s.VMs["server-001"] = moved
+	r = configure(s, "c", fleet.Change{Pool: &fleet.Object[fleet.Pool]{Name: "pool-000"}})
+	assert.Equal(t, errkind.InvalidConfig, r.Kind)
+}
+
+// TestRepeatedChangeReturnsItsFirstResult guards against telling an operator a version that is not that of the change.
+func TestRepeatedChangeReturnsItsFirstResult(t *testing.T) {
+	s, err := samplefleet.State(samplefleet.Today)
+	require.NoError(t, err)
+	peak, ordinary := "peak", "ordinary"
+	first := configure(s, "a", fleet.Change{InForce: &peak})
+	second := configure(s, "b", fleet.Change{InForce: &ordinary})
+	assert.Equal(t, first.Version+1, second.Version)
+	assert.Equal(t, first, configure(s, "a", fleet.Change{InForce: &peak}))
+	assert.Equal(t, ordinary, s.Config.InForce)
+}
+
+// TestWithdrawnKeyOutlivesItsTeam guards against a team that can never be removed.
+func TestWithdrawnKeyOutlivesItsTeam(t *testing.T) {
+	s, err := samplefleet.State(samplefleet.Today)
+	require.NoError(t, err)
+	id := "key-team-00"
+	remove := fleet.Change{Team: &fleet.Object[fleet.Team]{Name: "team-00"}}
+	assert.Equal(t, errkind.InvalidConfig, configure(s, "a", remove).Kind)
+	assert.True(t, configure(s, "b", fleet.Change{Withdraw: &id}, remove).OK())
+	again := fleet.Change{GiveKey: &fleet.Object[fleet.Key]{Name: id, Value: &fleet.Key{Team: "team-01", Hash: s.Config.Keys[id].Hash}}}
+	assert.False(t, configure(s, "c", again).OK())
+}
--- a/fleet/validate.go
+++ b/fleet/validate.go
@@ -95,7 +95,8 @@
 	for _, id := range sortedKeys(v.config.Keys) {
 		k := v.config.Keys[id]
 		path := "keys." + id
-		if _, ok := v.config.Teams[k.Team]; !ok {
+		// A withdrawn key outlives its team, so that the same key is never given again.
+		if _, ok := v.config.Teams[k.Team]; !ok && !k.Withdrawn {
 			v.add(path+".team", "team %q does not exist", k.Team)
 		}
 		if len(k.Hash) != hashDigits {
