--- a/claims/issuer.go
+++ b/claims/issuer.go
@@ -115,3 +115,13 @@
 	}
 	return out
 }
+
+// Outcome returns the outcome of an id that has begun, empty while it runs, and false if it has not begun or was not issued
+// to the team.
+func (i *Issuer) Outcome(team string, id IssuedID) (errkind.Outcome, bool) {
+	if id.Incarnation != i.incarnation || i.teams[id.Number] != team {
+		return "", false
+	}
+	outcome, ok := i.begun[id.Number]
+	return outcome, ok
+}
--- /dev/null
+++ b/entry/dispatch.go
@@ -0,0 +1,322 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"example.org/comfreyrouter/backend"
+	"example.org/comfreyrouter/errkind"
+	"example.org/comfreyrouter/fairshare"
+	"example.org/comfreyrouter/routing"
+)
+
+// task is a run of a call on a backend server. It counts against the team's limit until its end is confirmed or its lease has
+// run out.
+type task struct {
+	id         string
+	call       *call
+	pool       string
+	team       string
+	server     string
+	address    string
+	fence      uint64
+	number     uint64 // order of starts
+	leaseEnd   time.Time
+	lost       bool // its lease is not renewed any more
+	stopping   bool
+	repeatable bool
+}
+
+// assignment tells a waiting call where it runs, or why it does not.
+type assignment struct {
+	server string
+	task   *task
+	send   backend.Task
+	err    error
+}
+
+// await queues the call and waits for its assignment.
+func (e *Engine) await(c *call) (assignment, error) {
+	if c.ctx.Err() != nil {
+		return assignment{}, e.waitError(c)
+	}
+	c.assigned = make(chan assignment, 1)
+	e.mu.Lock()
+	e.pushLocked(c)
+	e.dispatchLocked(c.queue.Pool)
+	e.mu.Unlock()
+	select {
+	case a := <-c.assigned:
+		return a, a.err
+	case <-c.ctx.Done():
+	}
+	err := e.waitError(c)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.queues[c.queue.Pool].Remove(c.item) {
+		e.poppedLocked(c)
+		return assignment{}, err
+	}
+	if a := <-c.assigned; a.task != nil {
+		c.onServer = false
+		e.endLocked(a.task)
+	}
+	return assignment{}, err
+}
+
+// waitError says why a call waited until its context ended.
+func (e *Engine) waitError(c *call) error {
+	cause := context.Cause(c.ctx)
+	switch {
+	case errors.Is(cause, errLeft):
+		return errLeft
+	case !errors.Is(cause, errDeadline):
+		return errkind.New(errkind.ShuttingDown, "this entry VM is shutting down")
+	case c.refusals > 0:
+		return errkind.New(errkind.BackendRefused, "refused %d times, the last time with: %v", c.refusals, c.lastErr)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	switch {
+	case len(e.candidatesLocked(c.queue.Pool, now)) == 0:
+		return errkind.New(errkind.NoBackendServer, "no backend server of pool %q took work until the deadline", c.queue.Pool)
+	case e.holder.Running(c.team) >= e.holder.Allowed(c.team, now):
+		return errkind.New(errkind.LimitReached, "team %q ran as much as its grant allows until the deadline", c.team)
+	}
+	return errDeadline
+}
+
+func (e *Engine) pushLocked(c *call) {
+	q := e.queues[c.queue.Pool]
+	if q == nil {
+		q = fairshare.NewQueue()
+		e.queues[c.queue.Pool] = q
+	}
+	e.nextItem++
+	c.item = fairshare.Item{ID: e.nextItem, Team: c.team, Class: c.queue.Class, Enqueued: c.began}
+	q.Push(c.item)
+	e.calls[c.item.ID] = c
+	e.waitingBytes += len(c.req.Body)
+	e.waiting[c.team]++
+	e.holder.SetWaiting(c.team, e.waiting[c.team])
+}
+
+// poppedLocked counts a call out that is no longer in its queue.
+func (e *Engine) poppedLocked(c *call) {
+	delete(e.calls, c.item.ID)
+	e.waitingBytes -= len(c.req.Body)
+	e.waiting[c.team]--
+	e.holder.SetWaiting(c.team, e.waiting[c.team])
+}
+
+func (e *Engine) dispatchAllLocked() {
+	for pool := range e.queues {
+		e.dispatchLocked(pool)
+	}
+}
+
+// dispatchLocked starts as many waiting calls of a pool as limits, slots and shares allow.
+func (e *Engine) dispatchLocked(pool string) {
+	q := e.queues[pool]
+	if q == nil || q.Len() == 0 || !e.joined {
+		return
+	}
+	now := time.Now()
+	servers := e.candidatesLocked(pool, now)
+	view := e.fairViewLocked(pool, servers, now)
+	var aside []fairshare.Item
+	for {
+		item, ok := q.Next(view)
+		if !ok {
+			break
+		}
+		c := e.calls[item.ID]
+		if e.keyWithdrawnLocked(c) {
+			e.poppedLocked(c)
+			c.assigned <- assignment{err: errkind.New(errkind.KeyWithdrawn, "key %q was withdrawn", c.keyID)}
+			continue
+		}
+		i, ok := routing.Choose(servers, e.options.DataCentre, c.exclude, e.rnd)
+		if !ok {
+			aside = append(aside, item)
+			continue
+		}
+		e.startLocked(c, servers[i].Name, now)
+		servers[i].Local++
+		view.Free--
+		view.Running[c.team]++
+	}
+	for _, item := range aside {
+		q.Push(item)
+	}
+}
+
+func (e *Engine) fairViewLocked(pool string, servers []routing.Server, now time.Time) fairshare.View {
+	config := e.options.Store.Config()
+	view := fairshare.View{Shares: map[string]int{}, Running: map[string]int{}}
+	for name, t := range config.Teams {
+		view.Shares[name] = t.Share
+		view.Running[name] = e.running[pool][name] + e.remoteRunning[pool][name]
+	}
+	slots := 0
+	for _, s := range servers {
+		slots += s.Slots
+		if !s.Ejected {
+			view.Free += max(0, s.Free())
+		}
+	}
+	view.Reserve = slots * config.Preset().ReservePercent / 100
+	view.MayStart = func(team string) bool { return e.holder.Running(team) < e.holder.Allowed(team, now) }
+	return view
+}
+
+// startLocked counts a task against the team's limit and hands it to the waiting call.
+func (e *Engine) startLocked(c *call, name string, now time.Time) {
+	e.poppedLocked(c)
+	e.holder.Start(c.team, now)
+	s := e.servers[name]
+	e.nextTask++
+	t := &task{
+		id:   e.options.Incarnation + "-" + strconv.FormatUint(e.nextTask, 10),
+		call: c, pool: c.queue.Pool, team: c.team, server: name, address: s.address,
+		fence: e.member.Fence, number: e.nextTask, repeatable: c.kind == repeatable,
+	}
+	firm := e.holder.Running(c.team) <= e.grants[c.team].Firm
+	t.leaseEnd = e.taskLeaseEndLocked(firm, now)
+	e.tasks[t.id] = t
+	e.local[name]++
+	if e.running[t.pool] == nil {
+		e.running[t.pool] = map[string]int{}
+	}
+	e.running[t.pool][t.team]++
+	if c.attempts == 0 && c.refusals == 0 {
+		e.options.Counters.StartDelay(c.queue.Class, now.Sub(c.began))
+	}
+	c.onServer = true
+	c.assigned <- assignment{server: name, task: t, send: backend.Task{
+		ID: t.id, Queue: c.req.Queue, Team: c.team, Class: c.queue.Class,
+		Holder: e.options.VM, Fence: t.fence, PoolEpoch: s.epoch,
+		LeaseUntil: s.clock.at(t.leaseEnd, e.options.Limits.ClockRate), Body: c.req.Body,
+	}}
+}
+
+// taskLeaseEndLocked returns the end of a task's lease. Only a task within the firm grant may outlive the holder's lease.
+func (e *Engine) taskLeaseEndLocked(firm bool, now time.Time) time.Time {
+	end := now.Add(e.options.Limits.TaskLease)
+	if lease := e.holder.LeaseEnd(); !firm && lease.Before(end) {
+		return lease
+	}
+	return end
+}
+
+// endLocked counts a task out and starts what waited for its slot.
+func (e *Engine) endLocked(t *task) {
+	if _, ok := e.tasks[t.id]; !ok {
+		return
+	}
+	delete(e.tasks, t.id)
+	e.holder.End(t.team)
+	decrement(e.local, t.server)
+	decrement(e.running[t.pool], t.team)
+	e.dispatchAllLocked()
+}
+
+func decrement(m map[string]int, key string) {
+	m[key]--
+	if m[key] <= 0 {
+		delete(m, key)
+	}
+}
+
+type runResult struct {
+	body []byte
+	err  error
+}
+
+// runTask runs an assigned task to its end. The caller's leaving or the deadline stops a repeatable task; a non-repeatable one
+// goes on for Options.Linger, because its outcome must be learned.
+func (e *Engine) runTask(c *call, a assignment) ([]byte, error) {
+	ctx, cancel := context.WithCancel(e.base)
+	defer cancel()
+	startedAt := time.Now()
+	ended := make(chan runResult, 1)
+	go func() {
+		body, err := e.options.Backend.Run(ctx, a.task.address, a.send)
+		ended <- runResult{body, err}
+	}()
+	result := e.waitTask(c, a.task, ended, cancel)
+	e.taskEnded(c, a, result.err, time.Since(startedAt))
+	return result.body, result.err
+}
+
+func (e *Engine) waitTask(c *call, t *task, ended chan runResult, cancel context.CancelFunc) runResult {
+	select {
+	case r := <-ended:
+		return r
+	case <-c.ctx.Done():
+	}
+	if c.kind != repeatable {
+		timer := time.NewTimer(max(0, time.Until(c.began.Add(c.req.TimeLeft))) + e.options.Linger)
+		defer timer.Stop()
+		select {
+		case r := <-ended:
+			return r
+		case <-timer.C:
+		}
+	}
+	stopCtx, stop := context.WithTimeout(e.base, e.options.StopGrace)
+	defer stop()
+	e.work.Go(func() { e.stopTask(stopCtx, t, false) })
+	select {
+	case r := <-ended:
+		return r
+	case <-stopCtx.Done():
+		cancel()
+		return <-ended
+	}
+}
+
+// stopTask asks the server to end a task. The end shows in the answer to Run.
+func (e *Engine) stopTask(ctx context.Context, t *task, checkpoint bool) {
+	stop := e.options.Backend.Stop
+	if checkpoint {
+		stop = e.options.Backend.Checkpoint
+	}
+	// An error needs no answer: the task then ends with its lease.
+	_ = stop(ctx, t.address, t.id, e.options.VM, t.fence)
+}
+
+// taskEnded counts the task out if its end is confirmed. Otherwise the task counts until its lease, which is not renewed any
+// more, has run out on the server.
+func (e *Engine) taskEnded(c *call, a assignment, err error, runTime time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	c.onServer = false
+	k := errkind.Kind("")
+	if err != nil {
+		k = errkind.Of(err)
+	}
+	switch {
+	case k == "":
+		e.runTimes.Observe(c.req.Queue, c.team, runTime)
+		e.health.Report(a.server, true, e.byPool[a.task.pool], now)
+	case k == errkind.BackendRefused:
+		e.refusedLocked(a.server, now)
+	case c.ctx.Err() == nil && !a.task.stopping:
+		e.health.Report(a.server, false, e.byPool[a.task.pool], now)
+	}
+	if k == "" || k == errkind.BackendRefused || k == errkind.BackendFailed {
+		e.endLocked(a.task)
+		return
+	}
+	a.task.lost = true
+	time.AfterFunc(max(0, a.task.leaseEnd.Sub(now)), func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.endLocked(a.task)
+	})
+}
--- /dev/null
+++ b/entry/lookup.go
@@ -0,0 +1,173 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"example.org/comfreyrouter/claims"
+	"example.org/comfreyrouter/errkind"
+	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/keys"
+	"example.org/comfreyrouter/peer"
+)
+
+// lookupWait bounds a question to a peer about a result.
+const lookupWait = time.Second
+
+// Lookup tells what became of a request. Without a key it finds requests of open queues only.
+func (e *Engine) Lookup(ctx context.Context, key, id string) Response {
+	config := e.options.Store.Config()
+	var scopes []string
+	var refusal error
+	if key != "" {
+		who, err := keys.Authenticate(config, e.isWithdrawn, key)
+		if who.Team == "" {
+			return Response{RequestID: id, Outcome: errkind.Unknown, Kind: errkind.Of(err), Message: err.Error()}
+		}
+		if err == nil {
+			err = e.checkFresh(config)
+		}
+		refusal = err
+		scopes = append(scopes, who.Team)
+	}
+	scopes = append(scopes, openScopes(config)...)
+	resp := e.lookup(ctx, scopes, id)
+	resp = withheld(resp, refusal)
+	resp.RequestID = id
+	return resp
+}
+
+func openScopes(config *fleet.Config) []string {
+	var scopes []string
+	for name, q := range config.Queues {
+		if q.Open {
+			scopes = append(scopes, openScope+name)
+		}
+	}
+	slices.Sort(scopes)
+	return scopes
+}
+
+// lookup asks this VM, the claims, and then all peers.
+func (e *Engine) lookup(ctx context.Context, scopes []string, id string) Response {
+	ctx, cancel := context.WithTimeout(ctx, lookupWait)
+	defer cancel()
+	for _, scope := range scopes {
+		if r := e.HandleResult(peer.ResultArgs{Team: scope, RequestID: id}); r.Kind != errkind.RequestUnknown {
+			return fromReply(r)
+		}
+	}
+	best := failed(errkind.RequestUnknown, "nothing is known of request id %q", id)
+	for _, scope := range scopes {
+		c := &call{req: Request{ID: id}, scope: scope}
+		if held, ok := e.heldClaim(c); ok {
+			best = e.recorded(held.Outcome)
+		}
+	}
+	if issued, ok := claims.ParseIssued(id); ok {
+		if outcomes, ok := e.leftIssuer(issued.Incarnation); ok {
+			return e.recordedByLeaver(outcomes, id)
+		}
+	}
+	if found, ok := e.askPeers(ctx, scopes, id); ok {
+		return found
+	}
+	return best
+}
+
+func (e *Engine) recordedByLeaver(outcomes map[string]errkind.Outcome, id string) Response {
+	outcome, begun := outcomes[id]
+	if !begun {
+		outcome = errkind.NotRun
+	}
+	return e.recorded(outcome)
+}
+
+// askPeers asks all peers at once and returns the first that knows the id.
+func (e *Engine) askPeers(ctx context.Context, scopes []string, id string) (Response, bool) {
+	statuses := e.options.Peers.Statuses()
+	replies := make(chan peer.ResultReply, len(statuses))
+	for _, p := range statuses {
+		e.work.Go(func() { replies <- e.askPeer(ctx, p.PeerAddress, scopes, id) })
+	}
+	for range statuses {
+		if r := <-replies; r.Kind != errkind.RequestUnknown {
+			return fromReply(r), true
+		}
+	}
+	return Response{}, false
+}
+
+func (e *Engine) askPeer(ctx context.Context, address string, scopes []string, id string) peer.ResultReply {
+	for _, scope := range scopes {
+		r, err := e.options.Peers.Result(ctx, address, peer.ResultArgs{Team: scope, RequestID: id})
+		if err == nil && r.Kind != errkind.RequestUnknown {
+			return r
+		}
+	}
+	return peer.ResultReply{Kind: errkind.RequestUnknown, Outcome: errkind.Unknown}
+}
+
+// HandleResult answers a peer's question about a request from this VM's memory.
+func (e *Engine) HandleResult(args peer.ResultArgs) peer.ResultReply {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := e.flights[args.Team+"/"+args.RequestID]; ok {
+		return peer.ResultReply{Outcome: errkind.Pending}
+	}
+	if r, ok := e.results.Get(args.Team, args.RequestID); ok {
+		return peer.ResultReply{Outcome: r.Outcome, Kind: r.Kind, Message: r.Message, Body: r.Body}
+	}
+	if id, ok := claims.ParseIssued(args.RequestID); ok && id.Incarnation == e.options.Incarnation {
+		if outcome, begun := e.issuer.Outcome(args.Team, id); begun {
+			return toReply(e.recorded(outcome))
+		}
+	}
+	return toReply(failed(errkind.RequestUnknown, "nothing is known of request id %q", args.RequestID))
+}
+
+func toReply(r Response) peer.ResultReply {
+	return peer.ResultReply{Outcome: r.Outcome, Kind: r.Kind, Message: r.Message, Body: r.Body}
+}
+
+// HandleForward runs a peer's request whose id this VM issued. The peer has authenticated the team.
+func (e *Engine) HandleForward(ctx context.Context, args peer.ForwardArgs) peer.ResultReply {
+	c := &call{began: time.Now(), scope: args.Team, team: args.Team, req: Request{
+		Queue: args.Queue, ID: args.RequestID, Repeatable: args.Repeatable, TimeLeft: args.TimeLeft, Body: args.Body,
+	}}
+	var err error
+	queue, found := e.options.Store.Config().Queues[args.Queue]
+	c.queue = queue
+	switch {
+	case !found:
+		err = errkind.New(errkind.QueueUnknown, "queue %q does not exist", args.Queue)
+	case queue.Open:
+		c.team = queue.Team
+	}
+	if id, ok := claims.ParseIssued(args.RequestID); !ok || id.Incarnation != e.options.Incarnation {
+		return toReply(failed(errkind.RequestUnknown, "request id %q was not issued by this incarnation", args.RequestID))
+	}
+	return toReply(e.handle(ctx, c, err))
+}
+
+// maxIssueCount bounds the ids of one call.
+const maxIssueCount = 1000
+
+// IssueIDs returns n request ids that only this VM may run, for the key's team, or for an open queue.
+func (e *Engine) IssueIDs(_ context.Context, key, queue string, n int) ([]string, error) {
+	if n < 1 || n > maxIssueCount {
+		return nil, errkind.New(errkind.BadRequest, "count is %d, but must be 1 to %d", n, maxIssueCount)
+	}
+	c := &call{req: Request{Key: key, Queue: queue}}
+	err := e.identify(c)
+	if err != nil && (queue != "" || errkind.Of(err) != errkind.QueueUnknown) {
+		return nil, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.shuttingDown {
+		return nil, errkind.New(errkind.ShuttingDown, "this entry VM is shutting down")
+	}
+	return e.issuer.Issue(c.scope, n), nil
+}
--- /dev/null
+++ b/entry/once.go
@@ -0,0 +1,270 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"example.org/comfreyrouter/claims"
+	"example.org/comfreyrouter/errkind"
+	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/peer"
+)
+
+// takeID makes this call the only run of its id. With a refusal it closes the id instead. It returns false with the answer if the
+// call must not run.
+func (e *Engine) takeID(c *call, refusal error) (Response, bool) {
+	switch {
+	case c.kind == issuedHere:
+		return e.beginIssued(c, refusal)
+	case refusal != nil:
+		return e.closeUnrun(c, refusal), false
+	case c.kind == chosen:
+		return e.claim(c)
+	}
+	return Response{}, true
+}
+
+// beginIssued takes an id that this VM issued. A refused id stays closed, because the caller is told that it did not run.
+func (e *Engine) beginIssued(c *call, refusal error) (Response, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.issuer.Begin(c.scope, c.issued); err != nil {
+		return withheld(e.issuedAnswerLocked(c.scope, c.issued, err), refusal), false
+	}
+	if refusal != nil {
+		e.issuer.Finish(c.issued, errkind.NotRun)
+		return failure(refusal), false
+	}
+	return Response{}, true
+}
+
+// issuedAnswerLocked answers for an id that cannot begin.
+func (e *Engine) issuedAnswerLocked(scope string, id claims.IssuedID, err error) Response {
+	if errkind.Of(err) != errkind.ClaimedElsewhere {
+		return failure(err)
+	}
+	outcome, _ := e.issuer.Outcome(scope, id)
+	return e.recorded(outcome)
+}
+
+// recorded is the answer for an id of which only the recorded outcome is known.
+func (e *Engine) recorded(outcome errkind.Outcome) Response {
+	switch outcome {
+	case errkind.Done:
+		return failed(errkind.ResultGone, "the request is done, but its answer is no longer kept")
+	case errkind.NotRun:
+		return failed(errkind.ClaimClosed, "the request id was closed without a run")
+	}
+	return failed(errkind.ClaimedElsewhere, "the outcome of the first attempt with this id is not known")
+}
+
+// claim claims the id of a call in the log. The wait for the log outlives the call: a claim that is confirmed too late is closed.
+func (e *Engine) claim(c *call) (Response, bool) {
+	if held, ok := e.heldClaim(c); ok {
+		return e.claimedAnswer(c.ctx, c, held), false
+	}
+	confirmed := make(chan fleet.Result, 1)
+	abandoned := make(chan struct{})
+	e.work.Go(func() { e.submitClaim(c, confirmed, abandoned) })
+	select {
+	case r := <-confirmed:
+		return e.claimResult(c, r)
+	case <-c.ctx.Done():
+		close(abandoned)
+		return failed(errkind.ClaimUnconfirmed, "the log did not confirm the claim before the deadline"), false
+	}
+}
+
+func (e *Engine) submitClaim(c *call, confirmed chan<- fleet.Result, abandoned <-chan struct{}) {
+	results, err := e.options.Submitter.Submit(e.base, claimCommand(c))
+	if err != nil {
+		results = []fleet.Result{{Kind: errkind.ClaimUnconfirmed, Message: err.Error()}}
+	}
+	select {
+	case <-abandoned:
+		if results[0].OK() {
+			e.submitLate(closeCommand(c))
+		}
+	default:
+		confirmed <- results[0]
+	}
+}
+
+// submitLate puts a command into the log for which nobody waits.
+func (e *Engine) submitLate(command fleet.Command) {
+	// An error means that the engine ends; the id then stays claimed, which is answered as unknown.
+	_, _ = e.options.Submitter.Submit(e.base, command)
+}
+
+func (e *Engine) claimResult(c *call, r fleet.Result) (Response, bool) {
+	switch {
+	case r.OK():
+		c.claimed = true
+		return Response{}, true
+	case r.Claim != nil:
+		return e.claimedAnswer(c.ctx, c, *r.Claim), false
+	case r.Kind == errkind.IDExpired:
+		return failure(r.Err()), false
+	}
+	return failed(errkind.ClaimUnconfirmed, "%s", r.Message), false
+}
+
+func claimCommand(c *call) fleet.Command {
+	return fleet.Command{Claim: &fleet.MakeClaim{Team: c.scope, RequestID: c.req.ID}}
+}
+
+func closeCommand(c *call) fleet.Command {
+	return fleet.Command{Close: &fleet.CloseClaim{Team: c.scope, RequestID: c.req.ID}}
+}
+
+// heldClaim returns the claim of the call's id in the fold. The fold accepts a repeated claim by the same writer, so the engine
+// must look before it claims: a claim of its own from an earlier attempt bars a second run.
+func (e *Engine) heldClaim(c *call) (fleet.Claim, bool) {
+	var held fleet.Claim
+	var ok bool
+	e.options.Store.View(func(s *fleet.State) { held, ok = s.Claims.Lookup(c.scope, c.req.ID) })
+	return held, ok
+}
+
+// claimedAnswer answers for an id that is claimed or closed already. It waits for the claimant's run until ctx ends.
+func (e *Engine) claimedAnswer(ctx context.Context, c *call, held fleet.Claim) Response {
+	if held.Claimant == "" || held.Claimant == e.options.Incarnation {
+		return e.recorded(held.Outcome)
+	}
+	address, ok := e.peerAddress(held.Claimant)
+	if !ok {
+		return e.recorded(held.Outcome)
+	}
+	args := peer.ResultArgs{Team: c.scope, RequestID: c.req.ID}
+	for pause := minResultPoll; ; pause = min(2*pause, maxResultPoll) {
+		reply, err := e.options.Peers.Result(ctx, address, args)
+		if err != nil || reply.Kind == errkind.RequestUnknown {
+			return e.recorded(held.Outcome)
+		}
+		if reply.Outcome != errkind.Pending {
+			return fromReply(reply)
+		}
+		if !sleep(ctx, pause) {
+			return failed(errkind.RequestTimeout, "an earlier attempt with the same id has not ended yet")
+		}
+	}
+}
+
+// Pauses between questions to the VM that runs an earlier attempt.
+const (
+	minResultPoll = 20 * time.Millisecond
+	maxResultPoll = time.Second
+)
+
+func fromReply(r peer.ResultReply) Response {
+	return Response{Outcome: r.Outcome, Kind: r.Kind, Message: r.Message, Body: r.Body}
+}
+
+// closeUnrun answers a call that was not run. "Not run" is said of a non-repeatable request only after its id was closed.
+func (e *Engine) closeUnrun(c *call, err error) Response {
+	switch c.kind {
+	case issuedHere:
+		e.mu.Lock()
+		e.issuer.Finish(c.issued, errkind.NotRun)
+		e.mu.Unlock()
+		return failure(err)
+	case chosen:
+		return e.closeChosen(c, err)
+	}
+	return failure(err)
+}
+
+func (e *Engine) closeChosen(c *call, cause error) Response {
+	// The call's own context may have ended; the close has a bound of its own.
+	ctx, cancel := context.WithTimeout(e.base, e.options.CloseWait)
+	defer cancel()
+	if held, ok := e.heldClaim(c); ok && !c.claimed {
+		return withheld(e.claimedAnswer(ctx, c, held), cause)
+	}
+	results, err := e.options.Submitter.Submit(ctx, closeCommand(c))
+	if err != nil {
+		return withheld(failed(errkind.ClaimUnconfirmed, "not run, but the log did not confirm it: %v", cause), cause)
+	}
+	r := results[0]
+	switch {
+	case r.OK():
+		return failure(cause)
+	case r.Claim != nil:
+		return withheld(e.claimedAnswer(ctx, c, *r.Claim), cause)
+	case r.Kind == errkind.IDExpired:
+		return withheld(failure(r.Err()), cause)
+	}
+	return withheld(failed(errkind.ClaimUnconfirmed, "%s", r.Message), cause)
+}
+
+// finish records the outcome of a call that was run.
+func (e *Engine) finish(c *call, resp Response) Response {
+	switch {
+	case c.kind == issuedHere:
+		e.mu.Lock()
+		e.issuer.Finish(c.issued, resp.Outcome)
+		e.mu.Unlock()
+	case c.claimed:
+		command := fleet.Command{Finish: &fleet.FinishClaim{Team: c.scope, RequestID: c.req.ID, Outcome: resp.Outcome}}
+		e.work.Go(func() { e.submitLate(command) })
+	}
+	return resp
+}
+
+// handleElsewhere sends a call to the VM that issued its id. A refused call is sent without time left, so that the issuer closes
+// the id and "not run" is true.
+func (e *Engine) handleElsewhere(ctx context.Context, c *call, refusal error) Response {
+	if outcomes, ok := e.leftIssuer(c.issued.Incarnation); ok {
+		outcome, begun := outcomes[c.req.ID]
+		if !begun {
+			outcome = errkind.NotRun
+		}
+		return withheld(e.recorded(outcome), refusal)
+	}
+	address, ok := e.peerAddress(c.issued.Incarnation)
+	if !ok {
+		return withheld(failed(errkind.IssuerUnreachable, "the entry VM that issued the id is not known"), refusal)
+	}
+	args := peer.ForwardArgs{
+		Queue: c.req.Queue, Team: c.scope, RequestID: c.req.ID,
+		TimeLeft: time.Until(c.began.Add(c.req.TimeLeft)), Body: c.req.Body,
+	}
+	wait := max(0, args.TimeLeft) + e.options.CloseWait
+	if refusal != nil {
+		args.TimeLeft = 0
+		args.Body = nil
+		wait = e.options.CloseWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	reply, err := e.options.Peers.Forward(ctx, address, args)
+	switch {
+	case err != nil:
+		return withheld(failed(errkind.IssuerUnreachable, "forwarding to the issuer failed: %v", err), refusal)
+	case refusal != nil && reply.Outcome == errkind.NotRun:
+		return failure(refusal)
+	}
+	return withheld(fromReply(reply), refusal)
+}
+
+// leftIssuer returns the outcomes that an issuer recorded when it left.
+func (e *Engine) leftIssuer(incarnation string) (map[string]errkind.Outcome, bool) {
+	var outcomes map[string]errkind.Outcome
+	var ok bool
+	// The fold never changes the map of an issuer that left, so it may be read outside the view.
+	e.options.Store.View(func(s *fleet.State) { outcomes, ok = s.Issuers.ByID[incarnation] })
+	return outcomes, ok
+}
+
+// peerAddress finds the address of another incarnation.
+func (e *Engine) peerAddress(incarnation string) (string, bool) {
+	for _, p := range e.options.Peers.Statuses() {
+		if p.Incarnation == incarnation {
+			return p.PeerAddress, true
+		}
+	}
+	var m fleet.Member
+	var ok bool
+	e.options.Store.View(func(s *fleet.State) { m, ok = s.Members[incarnation] })
+	return m.PeerAddress, ok
+}
--- /dev/null
+++ b/entry/servers.go
@@ -0,0 +1,195 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"example.org/comfreyrouter/backend"
+	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/routing"
+)
+
+// clockSample is a server's own clock as read in a response.
+type clockSample struct {
+	server     int64     // milliseconds of the server's own clock
+	receivedAt time.Time // when the response was received, after the clock was read
+}
+
+// at returns the time on the server's clock that is certainly not after t, for clocks whose rates differ by one part in rate.
+func (s clockSample) at(t time.Time, rate int) int64 {
+	span := t.Sub(s.receivedAt)
+	return s.server + (span - span/time.Duration(rate)).Milliseconds()
+}
+
+// server is what the engine knows of a backend server.
+type server struct {
+	address  string
+	pool     string
+	centre   string
+	slots    int
+	epoch    uint64
+	serving  bool // by the fold
+	draining bool // by the server itself
+	clock    clockSample
+	polledAt time.Time
+	polling  bool
+	// refusals and coolUntil keep work away from a server that refuses, until its status says why.
+	refusals  int
+	coolUntil time.Time
+}
+
+const (
+	// maxSampleAge is the age of a clock sample up to which a server gets work. A server that was silent for longer is down
+	// or cut off, and may have started again with another clock.
+	maxSampleAge = 15 * time.Second
+	// pollPeriod is how often a server is asked for its status or its task leases are renewed.
+	pollPeriod  = 5 * time.Second
+	pollTimeout = 2 * time.Second
+	// Pauses after refusals before the start.
+	minCool = 100 * time.Millisecond
+	maxCool = 5 * time.Second
+)
+
+// setServersLocked takes the servers of the fold.
+func (e *Engine) setServersLocked(vms map[string]fleet.VM) {
+	config := e.options.Store.Config()
+	share := max(1, len(config.EntryVMs))
+	byPool := map[string][]string{}
+	for name, vm := range vms {
+		declared, ok := config.Servers[name]
+		if !ok {
+			continue
+		}
+		s, ok := e.servers[name]
+		if !ok || s.address != declared.Address {
+			s = &server{address: declared.Address}
+			e.servers[name] = s
+		}
+		s.pool, s.centre, s.epoch = vm.Pool, declared.DataCentre, vm.Epoch
+		s.serving = vm.Available()
+		s.slots = declared.Slots
+		if declared.Connections > 0 {
+			s.slots = min(s.slots, max(1, declared.Connections/share)+e.remoteLoad[name])
+		}
+		byPool[vm.Pool] = append(byPool[vm.Pool], name)
+	}
+	for name := range e.servers {
+		if _, ok := vms[name]; !ok {
+			delete(e.servers, name)
+		}
+	}
+	for _, names := range byPool {
+		slices.Sort(names)
+	}
+	e.byPool = byPool
+}
+
+// candidatesLocked returns the servers of a pool that may get work.
+func (e *Engine) candidatesLocked(pool string, now time.Time) []routing.Server {
+	var candidates []routing.Server
+	for _, name := range e.byPool[pool] {
+		s := e.servers[name]
+		if !s.serving || s.draining || now.Sub(s.clock.receivedAt) > maxSampleAge || now.Before(s.coolUntil) {
+			continue
+		}
+		candidates = append(candidates, routing.Server{
+			Name: name, DataCentre: s.centre, Slots: s.slots,
+			Local: e.local[name], Remote: e.remoteLoad[name], Ejected: e.health.Ejected(name, now),
+		})
+	}
+	return candidates
+}
+
+// refusedLocked keeps work away from a server that refused, and has it polled at once.
+func (e *Engine) refusedLocked(name string, now time.Time) {
+	s, ok := e.servers[name]
+	if !ok {
+		return
+	}
+	cool := min(minCool<<min(s.refusals, 10), maxCool)
+	s.refusals++
+	s.coolUntil = now.Add(cool)
+	s.polledAt = time.Time{}
+}
+
+// pollServers asks the servers that are due, each in a goroutine, and never two at once for one server.
+func (e *Engine) pollServers(ctx context.Context) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	for _, name := range slices.Sorted(maps.Keys(e.servers)) {
+		s := e.servers[name]
+		fresh := now.Sub(s.polledAt) < pollPeriod && !s.clock.receivedAt.IsZero()
+		if s.polling || fresh {
+			continue
+		}
+		s.polling = true
+		s.polledAt = now
+		until := e.leasesLocked(name, s, now)
+		e.work.Go(func() { e.pollServer(ctx, name, s, until) })
+	}
+}
+
+// leasesLocked extends the leases of this VM's tasks on a server. The end is noted before it is sent: the server may take it even
+// if its answer is lost.
+func (e *Engine) leasesLocked(name string, s *server, now time.Time) map[string]int64 {
+	if s.clock.receivedAt.IsZero() {
+		return nil
+	}
+	until := map[string]int64{}
+	for _, t := range e.tasks {
+		if t.server != name || t.lost {
+			continue
+		}
+		end := e.taskLeaseEndLocked(e.firmLocked(t), now)
+		if end.After(t.leaseEnd) {
+			t.leaseEnd = end
+		}
+		until[t.id] = s.clock.at(end, e.options.Limits.ClockRate)
+	}
+	return until
+}
+
+// firmLocked reports whether a task is within the firm part of its team's grant: the oldest tasks are.
+func (e *Engine) firmLocked(t *task) bool {
+	firm := e.grants[t.team].Firm
+	if firm == 0 {
+		return false
+	}
+	tasks := e.tasksOfLocked(t.team)
+	slices.SortFunc(tasks, func(a, b *task) int { return cmp.Compare(a.number, b.number) })
+	return slices.Index(tasks, t) < firm
+}
+
+func (e *Engine) pollServer(ctx context.Context, name string, s *server, until map[string]int64) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	var status backend.Status
+	var err error
+	if len(until) > 0 {
+		request := backend.LeaseRequest{Holder: e.options.VM, Fence: e.fence(), Until: until}
+		status, err = e.options.Backend.Renew(ctx, s.address, request)
+	} else {
+		status, err = e.options.Backend.Status(ctx, s.address)
+	}
+	receivedAt := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.polling = false
+	if err != nil || status.Name != name {
+		return
+	}
+	s.clock = clockSample{server: status.ClockMillis, receivedAt: receivedAt}
+	s.draining = status.Draining
+	s.refusals = 0
+	e.dispatchAllLocked()
+}
+
+func (e *Engine) fence() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.member.Fence
+}
--- /dev/null
+++ b/entry/view.go
@@ -0,0 +1,198 @@
+package entry
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"example.org/comfreyrouter/errkind"
+	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/keys"
+	"example.org/comfreyrouter/peer"
+)
+
+// peerLoadAge is the age up to which a peer's numbers of running tasks count. Servers reject what does not fit, so older
+// numbers are of little use.
+const peerLoadAge = 5 * time.Second
+
+// keyView returns what this VM knows of the age of its state. It has every live member of the fold, also those that are silent, because
+// a silent member may have read records that others have not.
+func (e *Engine) keyView() keys.View {
+	o := e.options
+	v := keys.View{Centre: o.DataCentre, ReadAt: o.LogView.ReadAt(), LogReadable: o.LogView.Readable()}
+	answered := map[string]bool{o.Incarnation: true}
+	for _, p := range o.Peers.Statuses() {
+		answered[p.Incarnation] = true
+		v.Peers = append(v.Peers, keys.PeerView{
+			DataCentre: p.DataCentre, AskedAt: p.AskedAt, Offset: p.Offset, ReadAge: p.ReadAge,
+			LogReadable: p.LogReadable, Gone: p.Gone,
+		})
+	}
+	o.Store.View(func(s *fleet.State) {
+		v.Offset = s.Offset
+		for _, id := range s.LiveMembers() {
+			if !answered[id] {
+				v.Peers = append(v.Peers, keys.PeerView{DataCentre: s.Members[id].DataCentre})
+			}
+		}
+	})
+	v.Centres = entryCentres(o.Store.Config())
+	return v
+}
+
+// entryCentres returns the data centres that have declared entry VMs.
+func entryCentres(config *fleet.Config) []string {
+	centres := map[string]bool{}
+	for _, vm := range config.EntryVMs {
+		centres[vm.DataCentre] = true
+	}
+	return slices.Sorted(maps.Keys(centres))
+}
+
+func freshnessBound(config *fleet.Config) time.Duration {
+	return time.Duration(config.Policy.KeyFreshnessMillis) * time.Millisecond
+}
+
+// checkFresh returns an error if keys may not be accepted on this VM's view.
+func (e *Engine) checkFresh(config *fleet.Config) error {
+	if config.Policy.OnStaleView == fleet.ServeWhenStale {
+		return nil
+	}
+	if e.keyView().Fresh(time.Now(), freshnessBound(config)) {
+		return nil
+	}
+	return errkind.New(errkind.ViewNotFresh, "this VM cannot confirm that the key was not withdrawn in the last %v", freshnessBound(config))
+}
+
+// Withdraw makes this VM and its peers refuse a key at once, before its withdrawal is in the log.
+func (e *Engine) Withdraw(keyID string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.withdrawn[keyID] = true
+}
+
+func (e *Engine) isWithdrawn(keyID string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.withdrawn[keyID]
+}
+
+// keyWithdrawnLocked reports whether the key of a waiting call was withdrawn since it was accepted.
+func (e *Engine) keyWithdrawnLocked(c *call) bool {
+	if c.keyID == "" {
+		return false
+	}
+	return e.withdrawn[c.keyID] || e.options.Store.Config().Keys[c.keyID].Withdrawn
+}
+
+// AnsweredHeartbeat notes that this VM answered a heartbeat of a peer: its lease counts anew.
+func (e *Engine) AnsweredHeartbeat(from peer.Status) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.watcher.Vouch(from.Incarnation, time.Now())
+}
+
+// tick takes what the peers said and follows the leases.
+func (e *Engine) tick() {
+	now := time.Now()
+	statuses := e.options.Peers.Statuses()
+	config := e.options.Store.Config()
+	bound := freshnessBound(config)
+	since, outage := e.keyView().OutageForAllSince(now, bound)
+	var members map[string]fleet.Member
+	e.options.Store.View(func(s *fleet.State) { members = maps.Clone(s.Members) })
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if outage && e.joined {
+		e.holder.Renewed(since)
+	}
+	e.watcher.Observe(members, e.options.Incarnation, now)
+	if !e.majorityLocked(config, statuses, now, bound) {
+		e.watcher.RestartAll(now)
+	}
+	e.takeLoadLocked(statuses, now)
+	e.takeWithdrawnLocked(statuses, config)
+	e.dispatchAllLocked()
+}
+
+// majorityLocked reports whether this VM is in contact with a majority of the data centres that have entry VMs.
+func (e *Engine) majorityLocked(config *fleet.Config, statuses []PeerStatus, now time.Time, bound time.Duration) bool {
+	reached := map[string]bool{e.options.DataCentre: true}
+	for _, p := range statuses {
+		if now.Sub(p.AskedAt) <= bound {
+			reached[p.DataCentre] = true
+		}
+	}
+	centres := entryCentres(config)
+	n := 0
+	for _, c := range centres {
+		if reached[c] {
+			n++
+		}
+	}
+	return 2*n > len(centres)
+}
+
+func (e *Engine) takeLoadLocked(statuses []PeerStatus, now time.Time) {
+	e.remoteLoad = map[string]int{}
+	e.remoteRunning = map[string]map[string]int{}
+	for _, p := range statuses {
+		if now.Sub(p.AskedAt) > peerLoadAge {
+			continue
+		}
+		for server, n := range p.Outstanding {
+			e.remoteLoad[server] += n
+		}
+		for pool, teams := range p.Running {
+			if e.remoteRunning[pool] == nil {
+				e.remoteRunning[pool] = map[string]int{}
+			}
+			for team, n := range teams {
+				e.remoteRunning[pool][team] += n
+			}
+		}
+	}
+}
+
+// takeWithdrawnLocked learns withdrawals from peers and drops those that are in the configuration.
+func (e *Engine) takeWithdrawnLocked(statuses []PeerStatus, config *fleet.Config) {
+	for _, p := range statuses {
+		for _, id := range p.Withdrawn {
+			e.withdrawn[id] = true
+		}
+	}
+	for id := range e.withdrawn {
+		if config.Keys[id].Withdrawn {
+			delete(e.withdrawn, id)
+		}
+	}
+}
+
+// Status returns what this VM tells its peers.
+func (e *Engine) Status() peer.Status {
+	o := e.options
+	now := time.Now()
+	st := peer.Status{
+		Incarnation: o.Incarnation, VM: o.VM, DataCentre: o.DataCentre, PeerAddress: o.PeerAddress,
+		Offset: o.Store.Offset(), LogReadable: o.LogView.Readable(), ReadAge: now.Sub(o.LogView.ReadAt()),
+		Running: map[string]map[string]int{}, Waiting: map[string]map[string]int{},
+	}
+	bound := freshnessBound(o.Store.Config())
+	for _, p := range o.Peers.Statuses() {
+		st.LogReadable = st.LogReadable || p.LogReadable && now.Sub(p.AskedAt) <= bound
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for pool, teams := range e.running {
+		st.Running[pool] = maps.Clone(teams)
+	}
+	for pool, q := range e.queues {
+		st.Waiting[pool] = map[string]int{}
+		for _, team := range q.Teams() {
+			st.Waiting[pool][team] = q.Waiting(team)
+		}
+	}
+	st.Outstanding = maps.Clone(e.local)
+	st.Withdrawn = slices.Sorted(maps.Keys(e.withdrawn))
+	return st
+}
