--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -14,12 +14,8 @@
 		return nil
 	}
 	s.Offset = offset
-	if m, ok := s.Members[b.Writer]; ok {
-		if b.Seq <= m.LastSeq {
-			return nil
-		}
-		m.LastSeq = b.Seq
-		s.Members[b.Writer] = m
+	if !s.advanceSeq(b.Writer, b.Seq) {
+		return nil
 	}
 	results := make([]Result, len(b.Commands))
 	for i, c := range b.Commands {
@@ -124,10 +120,21 @@
 	if p.UpTo <= s.SnapshotOffset {
 		return Result{}
 	}
-	s.SnapshotParts[p.ID]++
-	if s.SnapshotParts[p.ID] >= p.Count {
+	if p.Index < 0 || p.Index >= p.Count {
+		return reject(errkind.BadRequest, "part %d of %d does not exist", p.Index, p.Count)
+	}
+	if s.SnapshotParts == nil {
+		s.SnapshotParts = map[string]map[int]bool{}
+	}
+	seen := s.SnapshotParts[p.ID]
+	if seen == nil {
+		seen = map[int]bool{}
+		s.SnapshotParts[p.ID] = seen
+	}
+	seen[p.Index] = true
+	if len(seen) >= p.Count {
 		s.SnapshotOffset = p.UpTo
-		s.SnapshotParts = map[string]int{}
+		s.SnapshotParts = nil
 	}
 	return Result{}
 }
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -95,6 +95,8 @@
 	Members map[string]Member `json:"members"` // by incarnation
 	// LastIncarnation has the highest incarnation seen of each entry VM, so that a delayed join of an ended one is ignored.
 	LastIncarnation map[string]string `json:"last_incarnation"`
+	// Ended has the last batch sequence numbers of writers that are not members.
+	Ended Ended `json:"ended"`
 	// Grants are keyed by team, then by incarnation.
 	Grants map[string]map[string]Grant `json:"grants"`
 	Waves  map[string]Wave             `json:"waves"`
@@ -105,8 +107,8 @@
 	Configured Configured `json:"configured"`
 	// SnapshotOffset is the UpTo of the last complete snapshot in the log.
 	SnapshotOffset uint64 `json:"snapshot_offset"`
-	// SnapshotParts counts the parts seen of the snapshot that is being written.
-	SnapshotParts map[string]int `json:"snapshot_parts,omitempty"`
+	// SnapshotParts has, by snapshot, the indexes of the parts seen of those that are being written.
+	SnapshotParts map[string]map[int]bool `json:"snapshot_parts,omitempty"`
 }
 
 // NewState returns the state before the first record.
@@ -121,7 +123,7 @@
 		Claims:          Claims{ByID: map[string]Claim{}},
 		Issuers:         Issuers{ByID: map[string]map[string]errkind.Outcome{}},
 		Configured:      Configured{ByID: map[string]Result{}},
-		SnapshotParts:   map[string]int{},
+		Ended:           Ended{LastSeq: map[string]uint64{}},
 	}
 }
 
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -19,6 +19,7 @@
 	config  atomic.Pointer[Config]
 	changed chan struct{}
 	hooks   []func(Applied)
+	jumps   []func(*State)
 }
 
 // NewStore returns a store that holds the state before the first record.
@@ -31,7 +32,12 @@
 // OnApplied registers a function that is called after each batch, in log order and without the lock. Register before use.
 func (s *Store) OnApplied(fn func(Applied)) { s.hooks = append(s.hooks, fn) }
 
-// Apply folds a batch. Calls must come from one goroutine at a time.
+// OnInstalled registers a function that is called after each Install, without the lock. The batches up to the state's offset
+// that were not applied before will not be reported by OnApplied. fn must neither keep nor change the state. Register before
+// use.
+func (s *Store) OnInstalled(fn func(*State)) { s.jumps = append(s.jumps, fn) }
+
+// Apply folds a batch. Calls of Apply and Install must come from one goroutine at a time.
 func (s *Store) Apply(offset uint64, b Batch) {
 	s.mu.Lock()
 	results := s.state.Apply(offset, b)
@@ -44,6 +50,16 @@
 
 // Install replaces the state by a later one, such as a snapshot. It reports false and changes nothing if next is not later.
 func (s *Store) Install(next *State) bool {
+	if !s.replace(next) {
+		return false
+	}
+	for _, fn := range s.jumps {
+		fn(next)
+	}
+	return true
+}
+
+func (s *Store) replace(next *State) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if next.Offset <= s.state.Offset {
