--- a/declare/declare_test.go
+++ b/declare/declare_test.go
@@ -31,7 +31,7 @@
 
 func apply(t require.TestingT, s *fleet.State, d *Declarations) {
 	c := fleet.Configure{ID: fmt.Sprint("change-", s.Offset), Expect: s.Config.Version, Changes: Diff(s.Config, d)}
-	results := s.Apply(s.Offset+1, fleet.Batch{Writer: "w", Commands: []fleet.Command{{Configure: &c}}})
+	results := s.Apply(s.Offset+1, fleet.Batch{Writer: "w", Seq: s.Offset + 1, Commands: []fleet.Command{{Configure: &c}}})
 	require.NoError(t, results[0].Err())
 }
 
--- a/fleet/apply_config_test.go
+++ b/fleet/apply_config_test.go
@@ -14,7 +14,7 @@
 // configure applies changes for the version in force.
 func configure(s *fleet.State, id string, changes ...fleet.Change) fleet.Result {
 	c := &fleet.Configure{ID: id, Expect: s.Config.Version, Changes: changes}
-	return s.Apply(s.Offset+1, fleet.Batch{Writer: "x", Commands: []fleet.Command{{Configure: c}}})[0]
+	return s.Apply(s.Offset+1, fleet.Batch{Writer: "x", Seq: s.Offset + 1, Commands: []fleet.Command{{Configure: c}}})[0]
 }
 
 func removeServer(name string) fleet.Change {
