--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,325 @@
+// Package daemon assembles the services of one entry VM. The command is a thin shell around it, and so is any other program that
+// runs an entry VM in its own process.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/rs/zerolog"
+	"golang.org/x/net/netutil"
+
+	"example.org/comfreyrouter/backend"
+	"example.org/comfreyrouter/callerapi"
+	"example.org/comfreyrouter/entry"
+	"example.org/comfreyrouter/events"
+	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/kernel"
+	"example.org/comfreyrouter/logclient"
+	"example.org/comfreyrouter/metrics"
+	"example.org/comfreyrouter/operatorapi"
+	"example.org/comfreyrouter/peer"
+	"example.org/comfreyrouter/reconcile"
+	"example.org/comfreyrouter/settings"
+)
+
+// Names of the services of an entry VM.
+const (
+	serviceMetrics   = "metrics"
+	serviceStore     = "store"
+	serviceLog       = "log"
+	servicePeers     = "peers"
+	serviceFollower  = "follower"
+	serviceWriter    = "writer"
+	serviceSnapshots = "snapshots"
+	serviceBackend   = "backend"
+	serviceEngine    = "engine"
+	servicePeerRPC   = "peer-rpc"
+	serviceReconcile = "reconcile"
+	serviceCallers   = "callers"
+	serviceOperators = "operators"
+	serviceDrain     = "drain"
+)
+
+// Options are what a daemon is made from.
+type Options struct {
+	Settings settings.Settings
+	Logger   zerolog.Logger
+	// Listening, if set, is called with the addresses once all listeners are open. It tells ports that the system has chosen.
+	Listening func(Addresses)
+}
+
+// Addresses are the addresses on which an entry VM listens.
+type Addresses struct {
+	Caller, Operator, Peer string
+}
+
+// Run runs an entry VM until ctx ends, and then shuts it down gracefully. It returns an error of kind fenced if this incarnation was
+// barred; the process may be started again at once.
+func Run(ctx context.Context, o Options) error {
+	d := &daemon{
+		Options:     o,
+		store:       fleet.NewStore(),
+		incarnation: ulid.Make().String(),
+	}
+	if err := d.listen(); err != nil {
+		return err
+	}
+	k := kernel.New()
+	for _, s := range d.services() {
+		if err := k.Register(s); err != nil {
+			return err
+		}
+	}
+	s := o.Settings
+	events.Log(o.Logger, events.Started, s.Name, s.DataCentre, d.incarnation)
+	if o.Listening != nil {
+		o.Listening(d.addresses())
+	}
+	err := k.Run(ctx)
+	if err != nil {
+		events.Log(o.Logger, events.FatalError, err)
+		return err
+	}
+	events.Log(o.Logger, events.Stopped)
+	return nil
+}
+
+type daemon struct {
+	Options
+	store       *fleet.Store
+	incarnation string
+	listeners   struct{ caller, operator, peer net.Listener }
+}
+
+// listen opens all listeners first, so that a port that is taken is reported before anything runs.
+func (d *daemon) listen() error {
+	s := d.Settings
+	for _, l := range []struct {
+		address  string
+		listener *net.Listener
+	}{
+		{s.CallerAddress.String(), &d.listeners.caller},
+		{s.OperatorAddress.String(), &d.listeners.operator},
+		{s.PeerAddress.String(), &d.listeners.peer},
+	} {
+		opened, err := net.Listen("tcp", l.address)
+		if err != nil {
+			d.closeListeners()
+			return err
+		}
+		*l.listener = opened
+	}
+	return nil
+}
+
+func (d *daemon) closeListeners() {
+	for _, l := range []net.Listener{d.listeners.caller, d.listeners.operator, d.listeners.peer} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+func (d *daemon) addresses() Addresses {
+	return Addresses{
+		Caller:   d.listeners.caller.Addr().String(),
+		Operator: d.listeners.operator.Addr().String(),
+		Peer:     d.listeners.peer.Addr().String(),
+	}
+}
+
+func (d *daemon) services() []kernel.Service {
+	return []kernel.Service{
+		{Name: serviceMetrics, New: func(kernel.Lookup) (any, error) { return metrics.New(), nil }},
+		{Name: serviceStore, New: func(kernel.Lookup) (any, error) { return d.store, nil }},
+		{Name: serviceLog, New: d.newLog},
+		{Name: serviceBackend, New: d.newBackend},
+		{Name: servicePeers, Needs: []string{serviceStore}, New: d.newPeers},
+		{Name: serviceFollower, Needs: []string{serviceMetrics, serviceStore, serviceLog, servicePeers}, New: d.newFollower},
+		{Name: serviceWriter, Needs: []string{serviceMetrics, serviceStore, serviceLog, serviceFollower}, New: d.newWriter},
+		{Name: serviceSnapshots, Needs: []string{serviceMetrics, serviceStore, serviceFollower, serviceWriter}, New: d.newSnapshotter},
+		{
+			Name:  serviceEngine,
+			Needs: []string{serviceMetrics, serviceStore, serviceFollower, serviceWriter, servicePeers, serviceBackend},
+			New:   d.newEngine,
+		},
+		{Name: servicePeerRPC, Needs: []string{serviceEngine, serviceFollower, serviceStore}, New: d.newPeerServer},
+		{
+			Name:  serviceReconcile,
+			Needs: []string{serviceStore, serviceWriter, serviceBackend, serviceLog, serviceEngine, serviceFollower, servicePeers},
+			New:   d.newReconciler,
+		},
+		{Name: serviceCallers, Needs: []string{serviceEngine}, New: d.newCallers},
+		{
+			Name:  serviceOperators,
+			Needs: []string{serviceMetrics, serviceStore, serviceWriter, serviceEngine, serviceFollower, servicePeers},
+			New:   d.newOperators,
+		},
+		{Name: serviceDrain, Needs: []string{serviceEngine, serviceCallers, serviceOperators, servicePeerRPC, serviceReconcile, serviceSnapshots}, New: d.newDrain},
+	}
+}
+
+func (d *daemon) newLog(kernel.Lookup) (any, error) {
+	return newPlatform(logclient.NewHTTP(logclient.HTTPOptions{
+		BaseURL:    "http://" + d.Settings.PlatformAddress.String(),
+		Caller:     d.Settings.Name,
+		DataCentre: d.Settings.DataCentre,
+	})), nil
+}
+
+func (d *daemon) newBackend(kernel.Lookup) (any, error) {
+	return backend.New(backend.Options{MaxConnsPerServer: d.Settings.Limits.ConnectionsPerBackendServer}), nil
+}
+
+// newPeers builds the exchange of heartbeats. The engine, which knows the VM's own status, is built later and told by newEngine.
+func (d *daemon) newPeers(kernel.Lookup) (any, error) {
+	seeds := make([]string, 0, len(d.Settings.Peers))
+	for _, p := range d.Settings.Peers {
+		seeds = append(seeds, p.String())
+	}
+	p := &peers{}
+	p.Exchange = peer.NewExchange(peer.ExchangeOptions{
+		Store: d.store, Address: d.addresses().Peer, Seeds: seeds, Status: p.ownStatus,
+	})
+	return p, nil
+}
+
+func (d *daemon) newFollower(l kernel.Lookup) (any, error) {
+	platform, err := kernel.Get[*platform](l, serviceLog)
+	if err != nil {
+		return nil, err
+	}
+	p, err := kernel.Get[*peers](l, servicePeers)
+	if err != nil {
+		return nil, err
+	}
+	m, err := kernel.Get[*metrics.Metrics](l, serviceMetrics)
+	if err != nil {
+		return nil, err
+	}
+	return logclient.NewFollower(logclient.FollowerOptions{
+		Log: platform, Store: d.store, Fallback: p.Exchange, Count: logging(d.Logger, m),
+	}), nil
+}
+
+func (d *daemon) newWriter(l kernel.Lookup) (any, error) {
+	platform, err := kernel.Get[*platform](l, serviceLog)
+	if err != nil {
+		return nil, err
+	}
+	m, err := kernel.Get[*metrics.Metrics](l, serviceMetrics)
+	if err != nil {
+		return nil, err
+	}
+	return logclient.NewWriter(logclient.WriterOptions{
+		Log: platform, Store: d.store, Incarnation: d.incarnation, Count: logging(d.Logger, m),
+	}), nil
+}
+
+func (d *daemon) newSnapshotter(l kernel.Lookup) (any, error) {
+	w, err := kernel.Get[*logclient.Writer](l, serviceWriter)
+	if err != nil {
+		return nil, err
+	}
+	f, err := kernel.Get[*logclient.Follower](l, serviceFollower)
+	if err != nil {
+		return nil, err
+	}
+	m, err := kernel.Get[*metrics.Metrics](l, serviceMetrics)
+	if err != nil {
+		return nil, err
+	}
+	return logclient.NewSnapshotter(logclient.SnapshotterOptions{
+		Store: d.store, Submitter: w, Incarnation: d.incarnation, First: f.First, Count: logging(d.Logger, m),
+	}), nil
+}
+
+// serve serves HTTP on a listener until ctx ends, and then finishes the calls in progress.
+func serve(ctx context.Context, l net.Listener, h http.Handler) error {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	stopped := make(chan error, 1)
+	stop := context.AfterFunc(ctx, func() {
+		wait, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+		defer cancel()
+		stopped <- server.Shutdown(wait)
+	})
+	err := server.Serve(l)
+	if stop() {
+		return err
+	}
+	return <-stopped
+}
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	closeTimeout      = 5 * time.Second
+)
+
+// httpService serves HTTP as a service of the kernel.
+type httpService struct {
+	listener net.Listener
+	handler  http.Handler
+}
+
+// Run serves until ctx ends.
+func (s *httpService) Run(ctx context.Context) error { return serve(ctx, s.listener, s.handler) }
+
+func (d *daemon) newCallers(l kernel.Lookup) (any, error) {
+	e, err := kernel.Get[*entry.Engine](l, serviceEngine)
+	if err != nil {
+		return nil, err
+	}
+	o := callerapi.DefaultOptions()
+	o.MaxBody = d.Settings.Limits.MaxBodyBytes
+	return &httpService{
+		listener: netutil.LimitListener(d.listeners.caller, d.Settings.Limits.MaxCallerConnections),
+		handler:  callerapi.New(e, o),
+	}, nil
+}
+
+func (d *daemon) newOperators(l kernel.Lookup) (any, error) {
+	parts, err := d.operatorParts(l)
+	if err != nil {
+		return nil, err
+	}
+	api := operatorapi.New(operatorapi.Options{
+		Store:       d.store,
+		Submitter:   parts.writer,
+		Status:      parts.view,
+		Withdrawals: parts.view.engine,
+		TokenSHA256: d.Settings.OperatorTokenSHA256,
+		Refused:     parts.metrics.Refused,
+		Logger:      d.Logger,
+	})
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", parts.metrics.Handler())
+	mux.Handle("/", api)
+	return &httpService{listener: netutil.LimitListener(d.listeners.operator, d.Settings.Limits.MaxOperatorConnections), handler: mux}, nil
+}
+
+func (d *daemon) newReconciler(l kernel.Lookup) (any, error) {
+	w, err := kernel.Get[*logclient.Writer](l, serviceWriter)
+	if err != nil {
+		return nil, err
+	}
+	p, err := kernel.Get[*platform](l, serviceLog)
+	if err != nil {
+		return nil, err
+	}
+	b, err := kernel.Get[*backend.Client](l, serviceBackend)
+	if err != nil {
+		return nil, err
+	}
+	view, err := d.newView(l)
+	if err != nil {
+		return nil, err
+	}
+	return reconcile.New(reconcile.Options{
+		Store: d.store, Submit: w, Servers: b, Platform: p, View: view,
+		Incarnation: d.incarnation, DataCentre: d.Settings.DataCentre, Logger: d.Logger,
+	}), nil
+}
--- /dev/null
+++ b/daemon/engine.go
@@ -0,0 +1,182 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"example.org/comfreyrouter/backend"
+	"example.org/comfreyrouter/entry"
+	"example.org/comfreyrouter/events"
+	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/kernel"
+	"example.org/comfreyrouter/logclient"
+	"example.org/comfreyrouter/metrics"
+	"example.org/comfreyrouter/peer"
+)
+
+func (d *daemon) newEngine(l kernel.Lookup) (any, error) {
+	w, err := kernel.Get[*logclient.Writer](l, serviceWriter)
+	if err != nil {
+		return nil, err
+	}
+	f, err := kernel.Get[*logclient.Follower](l, serviceFollower)
+	if err != nil {
+		return nil, err
+	}
+	p, err := kernel.Get[*peers](l, servicePeers)
+	if err != nil {
+		return nil, err
+	}
+	b, err := kernel.Get[*backend.Client](l, serviceBackend)
+	if err != nil {
+		return nil, err
+	}
+	m, err := kernel.Get[*metrics.Metrics](l, serviceMetrics)
+	if err != nil {
+		return nil, err
+	}
+	engine := entry.New(d.engineOptions(w, f, p, b, m))
+	p.engine.Store(engine)
+	return engine, nil
+}
+
+func (d *daemon) engineOptions(w *logclient.Writer, f *logclient.Follower, p *peers, b *backend.Client, m *metrics.Metrics) entry.Options {
+	limits := d.Settings.Limits
+	o := entry.DefaultOptions()
+	o.VM = d.Settings.Name
+	o.DataCentre = d.Settings.DataCentre
+	o.PeerAddress = d.addresses().Peer
+	o.CallerAddress = d.addresses().Caller
+	o.Incarnation = d.incarnation
+	o.Store = d.store
+	o.Submitter = w
+	o.Backend = b
+	o.Peers = p
+	o.LogView = f
+	o.Counters = m
+	o.Admission.MaxBody = limits.MaxBodyBytes
+	o.Admission.MaxWaiting = limits.MaxWaiting
+	o.Admission.MaxWaitingBytes = limits.MaxWaitingBytes
+	o.ResultBytes = limits.ResultsKeptBytes
+	o.Seed = uint64(time.Now().UnixNano())
+	return o
+}
+
+// peerHandler answers the calls of peers.
+type peerHandler struct {
+	peer.LogSource
+	engine *entry.Engine
+}
+
+// Heartbeat implements peer.Handler.
+func (h *peerHandler) Heartbeat(_ context.Context, from peer.Status) (peer.Status, error) {
+	h.engine.AnsweredHeartbeat(from)
+	return h.engine.Status(), nil
+}
+
+// Forward implements peer.Handler.
+func (h *peerHandler) Forward(ctx context.Context, args peer.ForwardArgs) (peer.ResultReply, error) {
+	return h.engine.HandleForward(ctx, args), nil
+}
+
+// Result implements peer.Handler.
+func (h *peerHandler) Result(_ context.Context, args peer.ResultArgs) (peer.ResultReply, error) {
+	return h.engine.HandleResult(args), nil
+}
+
+func (d *daemon) newPeerServer(l kernel.Lookup) (any, error) {
+	e, err := kernel.Get[*entry.Engine](l, serviceEngine)
+	if err != nil {
+		return nil, err
+	}
+	f, err := kernel.Get[*logclient.Follower](l, serviceFollower)
+	if err != nil {
+		return nil, err
+	}
+	return peer.Serve(d.listeners.peer, &peerHandler{LogSource: peer.LogSource{Follower: f, Store: d.store}, engine: e}), nil
+}
+
+// drain stops first of all services: it lets the engine finish its requests while everything that they need still runs.
+type drain struct {
+	daemon *daemon
+	engine *entry.Engine
+}
+
+func (d *daemon) newDrain(l kernel.Lookup) (any, error) {
+	e, err := kernel.Get[*entry.Engine](l, serviceEngine)
+	if err != nil {
+		return nil, err
+	}
+	return &drain{daemon: d, engine: e}, nil
+}
+
+// Run reports when the VM is ready, waits for ctx to end, and then drains.
+func (s *drain) Run(ctx context.Context) error {
+	s.awaitReady(ctx)
+	<-ctx.Done()
+	logger := s.daemon.Logger
+	events.Log(logger, events.Draining, s.running())
+	wait, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.daemon.Settings.DrainTimeout)
+	defer cancel()
+	err := s.engine.Shutdown(wait)
+	if errors.Is(wait.Err(), context.DeadlineExceeded) && s.running() > 0 {
+		events.Log(logger, events.ShutdownCut, s.running())
+	}
+	return err
+}
+
+func (s *drain) running() int {
+	n := 0
+	for _, tasks := range s.engine.Status().Outstanding {
+		n += tasks
+	}
+	return n
+}
+
+// readyPoll is how often the drain service looks whether the engine has joined.
+const readyPoll = 100 * time.Millisecond
+
+func (s *drain) awaitReady(ctx context.Context) {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for !s.engine.Joined() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+	events.Log(s.daemon.Logger, events.Ready, s.daemon.store.Offset())
+	s.logVersions(ctx)
+}
+
+// logVersions notes each configuration that comes into force, until ctx ends.
+func (s *drain) logVersions(ctx context.Context) {
+	last := uint64(0)
+	for {
+		changed := s.daemon.store.Changed()
+		if c := s.daemon.store.Config(); c.Version != last {
+			last = c.Version
+			events.Log(s.daemon.Logger, events.ConfigInForce, c.Version, c.InForce)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// unavailable returns the number of backend servers that are out of service.
+func unavailable(store *fleet.Store) int {
+	n := 0
+	store.View(func(s *fleet.State) {
+		for _, v := range s.VMs {
+			if !v.Available() {
+				n++
+			}
+		}
+	})
+	return n
+}
--- /dev/null
+++ b/daemon/view.go
@@ -0,0 +1,221 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"example.org/comfreyrouter/entry"
+	"example.org/comfreyrouter/errkind"
+	"example.org/comfreyrouter/events"
+	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/kernel"
+	"example.org/comfreyrouter/logclient"
+	"example.org/comfreyrouter/metrics"
+	"example.org/comfreyrouter/operatorapi"
+	"example.org/comfreyrouter/peer"
+)
+
+// platform is the platform's client with the last list of VMs kept for those that must not wait for it.
+type platform struct {
+	*logclient.HTTP
+	mu   sync.Mutex
+	last map[string]logclient.VMState
+}
+
+func newPlatform(h *logclient.HTTP) *platform { return &platform{HTTP: h} }
+
+// VMs returns the state of each VM by name.
+func (p *platform) VMs(ctx context.Context) (map[string]string, error) {
+	list, err := p.HTTP.VMs(ctx)
+	if err != nil {
+		return nil, err
+	}
+	out := make(map[string]string, len(list))
+	for _, vm := range list {
+		out[vm.Name] = string(vm.State)
+	}
+	return out, nil
+}
+
+// peers is the exchange of heartbeats as the engine uses it.
+type peers struct {
+	*peer.Exchange
+	engine atomic.Pointer[entry.Engine]
+}
+
+func (p *peers) ownStatus() peer.Status {
+	if e := p.engine.Load(); e != nil {
+		return e.Status()
+	}
+	return peer.Status{}
+}
+
+// Statuses returns the last answer of each peer.
+func (p *peers) Statuses() []entry.PeerStatus {
+	last := p.Exchange.Statuses()
+	out := make([]entry.PeerStatus, 0, len(last))
+	for _, s := range last {
+		out = append(out, entry.PeerStatus{Status: s.Status, AskedAt: s.AskedAt})
+	}
+	return out
+}
+
+// Forward hands a request to the entry VM that issued its id.
+func (p *peers) Forward(ctx context.Context, address string, args peer.ForwardArgs) (peer.ResultReply, error) {
+	return p.Client(address).Forward(ctx, args)
+}
+
+// Result asks another entry VM what became of a request.
+func (p *peers) Result(ctx context.Context, address string, args peer.ResultArgs) (peer.ResultReply, error) {
+	return p.Client(address).Result(ctx, args)
+}
+
+// view answers what the reconciler and the operators' interface ask of the VM's own view.
+type view struct {
+	daemon   *daemon
+	engine   *entry.Engine
+	follower *logclient.Follower
+	peers    *peers
+}
+
+func (d *daemon) newView(l kernel.Lookup) (*view, error) {
+	e, err := kernel.Get[*entry.Engine](l, serviceEngine)
+	if err != nil {
+		return nil, err
+	}
+	f, err := kernel.Get[*logclient.Follower](l, serviceFollower)
+	if err != nil {
+		return nil, err
+	}
+	p, err := kernel.Get[*peers](l, servicePeers)
+	if err != nil {
+		return nil, err
+	}
+	return &view{daemon: d, engine: e, follower: f, peers: p}, nil
+}
+
+// Confirmed reports whether the VM itself read the log within the freshness bound.
+func (v *view) Confirmed() bool {
+	bound := time.Duration(v.daemon.store.Config().Policy.KeyFreshnessMillis) * time.Millisecond
+	return v.follower.Readable() && time.Since(v.follower.ReadAt()) <= bound
+}
+
+// Busy returns the running tasks of each backend server, on all entry VMs.
+func (v *view) Busy() map[string]int {
+	busy := v.engine.Status().Outstanding
+	if busy == nil {
+		busy = map[string]int{}
+	}
+	for _, p := range v.peers.Statuses() {
+		for server, n := range p.Outstanding {
+			busy[server] += n
+		}
+	}
+	return busy
+}
+
+// NodeStatus implements operatorapi.Status.
+func (v *view) NodeStatus() operatorapi.NodeStatus {
+	s := v.daemon.Settings
+	out := operatorapi.NodeStatus{
+		VM: s.Name, DataCentre: s.DataCentre, Incarnation: v.daemon.incarnation,
+		Ready: v.engine.Joined(), LogReadable: v.follower.Readable(), ViewFresh: v.engine.Fresh(),
+	}
+	for _, p := range v.peers.Statuses() {
+		out.Peers = append(out.Peers, operatorapi.PeerStatus{
+			VM: p.VM, DataCentre: p.DataCentre, Offset: p.Offset, LogReadable: p.LogReadable,
+			HeardMillis: time.Since(p.AskedAt).Milliseconds(),
+		})
+	}
+	return out
+}
+
+// operatorParts are the parts of the operators' interface.
+type operatorParts struct {
+	writer  *logclient.Writer
+	metrics *metrics.Metrics
+	view    *view
+}
+
+func (d *daemon) operatorParts(l kernel.Lookup) (operatorParts, error) {
+	w, err := kernel.Get[*logclient.Writer](l, serviceWriter)
+	if err != nil {
+		return operatorParts{}, err
+	}
+	m, err := kernel.Get[*metrics.Metrics](l, serviceMetrics)
+	if err != nil {
+		return operatorParts{}, err
+	}
+	v, err := d.newView(l)
+	if err != nil {
+		return operatorParts{}, err
+	}
+	m.Observe(v.gauges())
+	return operatorParts{writer: w, metrics: m, view: v}, nil
+}
+
+func (v *view) gauges() metrics.Gauges {
+	store := v.daemon.store
+	return metrics.Gauges{
+		Waiting: func() float64 {
+			n := 0
+			for _, teams := range v.engine.Status().Waiting {
+				for _, count := range teams {
+					n += count
+				}
+			}
+			return float64(n)
+		},
+		Running: func() float64 {
+			n := 0
+			for _, count := range v.engine.Status().Outstanding {
+				n += count
+			}
+			return float64(n)
+		},
+		Offset:    func() float64 { return float64(store.Offset()) },
+		ReadAge:   func() float64 { return time.Since(v.follower.ReadAt()).Seconds() },
+		Version:   func() float64 { return float64(store.Config().Version) },
+		ViewFresh: func() float64 { return boolGauge(v.engine.Fresh()) },
+		LeaseLeft: func() float64 { return v.engine.LeaseLeft().Seconds() },
+		SinceSnapshot: func() float64 {
+			var n uint64
+			store.View(func(s *fleet.State) { n = s.Offset - s.SnapshotOffset })
+			return float64(n)
+		},
+		Unavailable: func() float64 { return float64(unavailable(store)) },
+	}
+}
+
+func boolGauge(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// logging counts the events of the log client and notes those that an operator should see.
+func logging(logger zerolog.Logger, m *metrics.Metrics) logclient.CountFunc {
+	var down atomic.Bool
+	return func(e logclient.Event) {
+		m.LogEvent(e)
+		switch e {
+		case logclient.EventReadFailed:
+			if !down.Swap(true) {
+				events.Log(logger, events.LogUnreadable, errkind.LogUnavailable)
+			}
+		case logclient.EventRestored, logclient.EventPeerSnapshot:
+			events.Log(logger, events.SnapshotRestored)
+		case logclient.EventSnapshotWritten:
+			events.Log(logger, events.SnapshotWritten)
+		case logclient.EventSnapshotFailed:
+			events.Log(logger, events.SnapshotFailed)
+		case logclient.EventRecordMalformed:
+			events.Log(logger, events.RecordSkipped)
+		}
+	}
+}
--- a/internal/standin/platform/core.go
+++ b/internal/standin/platform/core.go
@@ -58,6 +58,7 @@
 	size    int
 	records []logclient.Record
 	vms     map[string][]seenVM
+	reboots map[string]bool // executed keys
 }
 
 // NewCore returns a platform with an empty log.
@@ -76,6 +77,7 @@
 		first:   1,
 		next:    1,
 		vms:     map[string][]seenVM{},
+		reboots: map[string]bool{},
 	}
 }
 
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -146,7 +146,7 @@
 }
 
 func (h *handler) reboot(c echo.Context) error {
-	if err := h.core.Reboot(c.Request().Context(), callerOf(c), c.Param("name")); err != nil {
+	if err := h.core.Reboot(c.Request().Context(), callerOf(c), c.Param("name"), c.QueryParam("key")); err != nil {
 		return fail(err)
 	}
 	return c.NoContent(http.StatusAccepted)
--- a/internal/standin/platform/vms.go
+++ b/internal/standin/platform/vms.go
@@ -58,15 +58,20 @@
 	return list, nil
 }
 
-// Reboot reboots a VM through the function of the options.
-func (c *Core) Reboot(ctx context.Context, caller Caller, name string) error {
+// Reboot reboots a VM through the function of the options, once for each key. An empty key is never remembered.
+func (c *Core) Reboot(ctx context.Context, caller Caller, name, key string) error {
 	if err := c.pass(ctx, caller); err != nil {
 		return err
 	}
 	c.mu.Lock()
 	_, known := c.vms[name]
 	reboot := c.options.Reboot
+	executed := key != "" && c.reboots[key]
+	c.reboots[key] = true
 	c.mu.Unlock()
+	if executed {
+		return nil
+	}
 	if !known {
 		return fmt.Errorf("platform: VM %q does not exist", name)
 	}
--- a/logclient/http.go
+++ b/logclient/http.go
@@ -50,8 +50,9 @@
 	Log
 	// VMs returns the platform's list of VMs.
 	VMs(ctx context.Context) ([]VM, error)
-	// Reboot asks the platform to reboot a VM. The caller has drained it.
-	Reboot(ctx context.Context, name string) error
+	// Reboot asks the platform to reboot a VM. The caller has drained it. The platform executes each key once, so a
+	// repeated or delayed call does not reboot a VM that serves again.
+	Reboot(ctx context.Context, name, key string) error
 }
 
 // HTTPOptions are the settings of the HTTP client.
@@ -110,9 +111,9 @@
 	return list, nil
 }
 
-// Reboot asks the platform to reboot a VM.
-func (h *HTTP) Reboot(ctx context.Context, name string) error {
-	return h.call(ctx, http.MethodPost, "/v1/vms/"+url.PathEscape(name)+"/reboot", nil, nil)
+// Reboot asks the platform to reboot a VM, once for each key.
+func (h *HTTP) Reboot(ctx context.Context, name, key string) error {
+	return h.call(ctx, http.MethodPost, "/v1/vms/"+url.PathEscape(name)+"/reboot?key="+url.QueryEscape(key), nil, nil)
 }
 
 // call sends a request and decodes the answer into reply, if that is not nil. Every error is of kind log_unavailable.
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -13,6 +13,7 @@
 
 	"example.org/comfreyrouter/errkind"
 	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/logclient"
 )
 
 // description is one row of the catalogue.
@@ -38,13 +39,13 @@
 	viewFresh   = description{"comfreyrouter_view_fresh", "gauge", "", "1 if keys may be checked on this VM's view, otherwise 0"}
 	leaseLeft   = description{"comfreyrouter_lease_left_seconds", "gauge", "", "time until the lease on grants ends"}
 	sinceSnap   = description{"comfreyrouter_records_since_snapshot", "gauge", "", "records that were appended since the last snapshot"}
-	appends     = description{"comfreyrouter_log_appends_total", "counter", "result", "appends to the log: ok, failed"}
+	logEvents   = description{"comfreyrouter_log_events_total", "counter", "event", "appends, reads, snapshots and their failures, by logclient.Event"}
 	unavailable = description{"comfreyrouter_unavailable_servers", "gauge", "", "backend servers that are not available, planned or not"}
 )
 
 func catalogue() []description {
 	return []description{
-		requests, refusals, retries, startDelay, waiting, running, offset, readAge, version, viewFresh, leaseLeft, sinceSnap, appends, unavailable,
+		requests, refusals, retries, startDelay, waiting, running, offset, readAge, version, viewFresh, leaseLeft, sinceSnap, logEvents, unavailable,
 	}
 }
 
@@ -55,7 +56,7 @@
 	refusals   *prometheus.CounterVec
 	retries    *prometheus.CounterVec
 	startDelay *prometheus.HistogramVec
-	appends    *prometheus.CounterVec
+	logEvents  *prometheus.CounterVec
 }
 
 // startDelayBuckets end at 3.1 s, within which urgent work starts, and go on for overnight work.
@@ -69,9 +70,9 @@
 		refusals:   counter(refusals, "kind"),
 		retries:    counter(retries, "kind"),
 		startDelay: histogram(startDelay, startDelayBuckets, "class"),
-		appends:    counter(appends, "result"),
+		logEvents:  counter(logEvents, "event"),
 	}
-	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.startDelay, m.appends,
+	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.startDelay, m.logEvents,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	for _, k := range errkind.All() {
 		m.refusals.WithLabelValues(string(k))
@@ -104,14 +105,8 @@
 	m.startDelay.WithLabelValues(string(class)).Observe(d.Seconds())
 }
 
-// Appended counts an append to the log.
-func (m *Metrics) Appended(err error) {
-	result := "ok"
-	if err != nil {
-		result = "failed"
-	}
-	m.appends.WithLabelValues(result).Inc()
-}
+// LogEvent counts an event of the log client.
+func (m *Metrics) LogEvent(e logclient.Event) { m.logEvents.WithLabelValues(string(e)).Inc() }
 
 // Gauges are read when the metrics are scraped.
 type Gauges struct {
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -9,6 +9,7 @@
 	"example.org/comfreyrouter/errkind"
 	"example.org/comfreyrouter/fleet"
 	"example.org/comfreyrouter/internal/doctest"
+	"example.org/comfreyrouter/logclient"
 )
 
 // TestCatalogueAgrees guards against a metric that operators cannot look up, and against one that is never served.
@@ -18,7 +19,7 @@
 	m.Observe(Gauges{zero, zero, zero, zero, zero, zero, zero, zero, zero})
 	m.Finished(errkind.Done, fleet.Urgent)
 	m.StartDelay(fleet.Urgent, 0)
-	m.Appended(nil)
+	m.LogEvent(logclient.EventAppended)
 	out := httptest.NewRecorder()
 	m.Handler().ServeHTTP(out, httptest.NewRequest("GET", "/metrics", nil))
 	var rows []string
--- a/reconcile/proposals.go
+++ b/reconcile/proposals.go
@@ -50,6 +50,26 @@
 	return time.Since(since)
 }
 
+// listedGone is the word of the platform's list for a VM that no longer exists.
+const listedGone = "gone"
+
+// fenceGone bars the members whose entry VM the platform calls gone, so that their grants come back.
+func (r *Reconciler) fenceGone(ctx context.Context, listed map[string]string) {
+	gone := map[string]string{} // VM by incarnation
+	r.o.Store.View(func(s *fleet.State) {
+		for id, m := range s.Members {
+			if !m.Fenced && listed[m.VM] == listedGone {
+				gone[id] = m.VM
+			}
+		}
+	})
+	for id, vm := range gone {
+		if r.submit(ctx, fleet.Command{Fence: &fleet.Fence{Incarnation: id}}) {
+			events.Log(r.o.Logger, events.MemberFenced, vm, id)
+		}
+	}
+}
+
 // askForDrains asks the fold for the next drain slots of the running waves.
 func (r *Reconciler) askForDrains(ctx context.Context) {
 	var asks []fleet.GrantDrain
--- a/reconcile/reconcile.go
+++ b/reconcile/reconcile.go
@@ -136,7 +136,11 @@
 		})
 	}
 	_ = group.Wait()
-	if r.leads() && r.o.View.Confirmed() {
+	if !r.leads() {
+		return
+	}
+	r.fenceGone(ctx, listed)
+	if r.o.View.Confirmed() {
 		r.askForDrains(ctx)
 		r.askForMove(ctx)
 	}
