--- /dev/null
+++ b/entry/attempts.go
@@ -0,0 +1,128 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"example.org/comfreyrouter/admission"
+	"example.org/comfreyrouter/backend"
+	"example.org/comfreyrouter/errkind"
+	"example.org/comfreyrouter/routing"
+)
+
+// admit refuses what cannot be served.
+func (e *Engine) admit(c *call) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.shuttingDown {
+		return errkind.New(errkind.ShuttingDown, "this entry VM is shutting down")
+	}
+	load := e.loadLocked(c)
+	if err := admission.Check(e.options.Admission, load, len(c.req.Body), time.Until(c.began.Add(c.req.TimeLeft))); err != nil {
+		return err
+	}
+	if len(e.flights) > 2*e.options.Admission.MaxWaiting+len(e.tasks) {
+		return errkind.New(errkind.QueueFull, "%d requests are in progress", len(e.flights))
+	}
+	e.budget.OnRequest()
+	return nil
+}
+
+// loadLocked estimates the delay from learned run times only, and only while requests of the team wait: a wrong declared or learned
+// run time must never shut a queue for good.
+func (e *Engine) loadLocked(c *call) admission.Load {
+	load := admission.Load{WaitingBytes: e.waitingBytes}
+	q := e.queues[c.queue.Pool]
+	if q == nil {
+		return load
+	}
+	load.Waiting = q.Len()
+	ahead := q.Waiting(c.team)
+	if ahead == 0 {
+		return load
+	}
+	load.RunTime = e.runTimes.Estimate(c.req.Queue, c.team, 0)
+	parallel := max(1, e.running[c.queue.Pool][c.team])
+	load.StartDelay = time.Duration(ahead/parallel) * load.RunTime
+	return load
+}
+
+// retry decides about another attempt after err, and waits before it.
+func (e *Engine) retry(c *call, a assignment, err error) bool {
+	if e.resumes(c, err) {
+		return true
+	}
+	k := errkind.Of(err)
+	c.lastErr = err
+	if routing.Started(k) {
+		c.attempts++
+		c.refusals = 0
+	} else {
+		c.refusals++
+	}
+	if c.ctx.Err() != nil && routing.Started(k) {
+		return false
+	}
+	e.mu.Lock()
+	again := routing.MayRetry(k, c.kind == repeatable, c.attempts, e.budget)
+	others := len(e.byPool[c.queue.Pool]) > 1
+	e.mu.Unlock()
+	if !again || routing.Started(k) && !others {
+		return false
+	}
+	// After a refusal the server's pause keeps work away from it for a while; only a failure bars it for the next attempt.
+	c.exclude = nil
+	if routing.Started(k) {
+		c.exclude = map[string]bool{a.server: true}
+	}
+	e.options.Counters.Retried(k)
+	if !routing.Started(k) {
+		sleep(c.ctx, refusalBackoff(c.refusals))
+	}
+	return true
+}
+
+// resumes prepares a call to resume after a checkpoint. The server confirmed that the run has stopped, so a resumed run is not a
+// second run.
+func (e *Engine) resumes(c *call, err error) bool {
+	var checkpoint *backend.Checkpoint
+	if !errors.As(err, &checkpoint) {
+		return false
+	}
+	c.req.Body = checkpoint.State
+	c.resume = true
+	c.exclude = nil
+	c.lastErr = errkind.New(errkind.Checkpointed, "the task was checkpointed and did not resume before the deadline")
+	e.options.Counters.Retried(errkind.Checkpointed)
+	return true
+}
+
+// Backoff after a refusal before the start.
+const (
+	minRefusalBackoff = 10 * time.Millisecond
+	maxRefusalBackoff = 500 * time.Millisecond
+)
+
+func refusalBackoff(refusals int) time.Duration {
+	return min(minRefusalBackoff<<min(refusals-1, 10), maxRefusalBackoff)
+}
+
+// lastFailure is the answer after attempts that may have started.
+func (e *Engine) lastFailure(c *call) Response {
+	switch {
+	case errors.Is(context.Cause(c.ctx), errDeadline) && c.kind == repeatable:
+		return failed(errkind.RequestTimeout, "the deadline passed while the task ran")
+	case c.attempts >= routing.MaxAttempts:
+		return failed(errkind.AttemptsExhausted, "%d attempts failed, the last one with: %v", c.attempts, c.lastErr)
+	}
+	return failure(c.lastErr)
+}
+
+// endWaiting ends a call that waits for a server.
+func (e *Engine) endWaiting(c *call, err error) Response {
+	if c.attempts > 0 || c.resume {
+		return e.finish(c, e.lastFailure(c))
+	}
+	return e.closeUnrun(c, err)
+}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -199,7 +199,7 @@
 	c.assigned <- assignment{server: name, task: t, send: backend.Task{
 		ID: t.id, Queue: c.req.Queue, Team: c.team, Class: c.queue.Class,
 		Holder: e.options.VM, Fence: t.fence, PoolEpoch: s.epoch,
-		LeaseUntil: s.clock.at(t.leaseEnd, e.options.Limits.ClockRate), Body: c.req.Body,
+		LeaseUntil: s.clock.at(t.leaseEnd, e.options.Limits.ClockRate), Body: c.req.Body, Resume: c.resume,
 	}}
 }
 
@@ -269,7 +269,7 @@
 	}
 	stopCtx, stop := context.WithTimeout(e.base, e.options.StopGrace)
 	defer stop()
-	e.work.Go(func() { e.stopTask(stopCtx, t, false) })
+	go e.stopTask(stopCtx, t, false)
 	select {
 	case r := <-ended:
 		return r
@@ -297,10 +297,13 @@
 	now := time.Now()
 	c.onServer = false
 	k := errkind.Kind("")
-	if err != nil {
+	var checkpoint *backend.Checkpoint
+	checkpointed := errors.As(err, &checkpoint)
+	if err != nil && !checkpointed {
 		k = errkind.Of(err)
 	}
 	switch {
+	case checkpointed:
 	case k == "":
 		e.runTimes.Observe(c.req.Queue, c.team, runTime)
 		e.health.Report(a.server, true, e.byPool[a.task.pool], now)
--- a/entry/engine.go
+++ b/entry/engine.go
@@ -9,6 +9,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"example.org/comfreyrouter/admission"
@@ -60,7 +61,7 @@
 type Counters interface {
 	Refused(kind errkind.Kind)
 	Retried(kind errkind.Kind)
-	Finished(outcome errkind.Outcome, queue string)
+	Finished(outcome errkind.Outcome, class fleet.Class)
 	StartDelay(class fleet.Class, d time.Duration)
 }
 
@@ -117,7 +118,7 @@
 	// base lives until Run ends. Tasks and claims outlive the callers that caused them, but not the engine.
 	base context.Context
 	stop context.CancelFunc
-	work sync.WaitGroup // background work that Shutdown waits for
+	jobs atomic.Int64 // work that Shutdown waits for: calls in progress and late records
 
 	mu       sync.Mutex
 	holder   *limits.Holder
@@ -134,7 +135,8 @@
 	shuttingDown bool
 	left         bool
 
-	flights      map[string]*flight // requests in progress by scope and id
+	flights      map[string]*flight       // requests in progress by scope and id
+	pending      map[string]*pendingClaim // claims that the log has not confirmed, by scope and id
 	queues       map[string]*fairshare.Queue
 	calls        map[uint64]*call // waiting calls by item id
 	waiting      map[string]int   // by team
@@ -171,7 +173,7 @@
 		budget:   routing.NewRetryBudget(retryPercent, retryBurst),
 		runTimes: routing.NewRunTimes(),
 		rnd:      rand.New(rand.NewPCG(o.Seed, 1)),
-		flights:  map[string]*flight{}, queues: map[string]*fairshare.Queue{}, calls: map[uint64]*call{},
+		flights:  map[string]*flight{}, pending: map[string]*pendingClaim{}, queues: map[string]*fairshare.Queue{}, calls: map[uint64]*call{},
 		waiting: map[string]int{}, tasks: map[string]*task{}, running: map[string]map[string]int{},
 		local: map[string]int{}, servers: map[string]*server{}, byPool: map[string][]string{},
 		grants: map[string]fleet.Grant{}, giving: map[string]int{}, room: map[string]bool{},
@@ -203,7 +205,9 @@
 	<-ctx.Done()
 	e.stop()
 	loops.Wait()
-	e.work.Wait()
+	for waited := time.Duration(0); e.jobs.Load() > 0 && waited < e.options.StopGrace; waited += shutdownPoll {
+		time.Sleep(shutdownPoll)
+	}
 	if cause := context.Cause(ctx); errkind.Of(cause) == errkind.Fenced {
 		return cause
 	}
@@ -236,6 +240,15 @@
 	}
 }
 
+// goJob runs fn in a goroutine that Shutdown waits for. It may be called with the lock held.
+func (e *Engine) goJob(fn func()) {
+	e.jobs.Add(1)
+	go func() {
+		defer e.jobs.Add(-1)
+		fn()
+	}()
+}
+
 // joinRetry is the pause between attempts to join.
 const joinRetry = 500 * time.Millisecond
 
@@ -253,7 +266,7 @@
 			e.mu.Lock()
 			e.holder.Renewed(sentAt)
 			e.mu.Unlock()
-			e.refresh()
+			_ = e.refresh() // foldLoop reports the error
 			return
 		case err == nil && results[0].Kind == errkind.Fenced:
 			cancel(results[0].Err())
@@ -317,5 +330,5 @@
 func (e *Engine) idle() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.flights) == 0 && len(e.tasks) == 0
+	return len(e.flights) == 0 && len(e.tasks) == 0 && e.jobs.Load() == 0
 }
--- a/entry/grants.go
+++ b/entry/grants.go
@@ -48,6 +48,12 @@
 func (e *Engine) refresh() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	err := e.refreshLocked()
+	e.dispatchAllLocked()
+	return err
+}
+
+func (e *Engine) refreshLocked() error {
 	var v foldView
 	e.options.Store.View(func(s *fleet.State) { v = e.readFold(s) })
 	if e.left {
@@ -61,7 +67,6 @@
 	e.room = v.room
 	e.setServersLocked(v.vms)
 	e.setGrantsLocked(v)
-	e.dispatchAllLocked()
 	return nil
 }
 
@@ -106,14 +111,15 @@
 		return
 	}
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.giving = map[string]int{}
+	_ = e.refreshLocked() // foldLoop reports the error
 	for i, c := range commands {
 		if c.Ask != nil && results[i].OK() {
 			e.holder.Renewed(sentAt)
 		}
 	}
-	e.mu.Unlock()
-	_ = e.refresh() // foldLoop reports the error
+	e.dispatchAllLocked()
 }
 
 // planGrants returns the commands to submit, lowers the grants that are given back, and stops the tasks above the grants.
@@ -125,6 +131,12 @@
 	}
 	plan := e.holder.Plan(now)
 	e.stopExcessLocked(plan.Stop)
+	config := e.options.Store.Config()
+	// A team that is not configured any more is granted nothing, and would be asked for without end.
+	plan.Ask = slices.DeleteFunc(plan.Ask, func(t fleet.TeamCount) bool {
+		_, ok := config.Teams[t.Team]
+		return !ok
+	})
 	asks := e.reaskLocked(plan.Ask, now)
 	var commands []fleet.Command
 	if len(plan.GiveBack) > 0 {
@@ -185,15 +197,18 @@
 			}
 			t.stopping = true
 			n--
-			e.work.Go(func() {
-				ctx, cancel := context.WithTimeout(e.base, e.options.StopGrace)
-				defer cancel()
-				e.stopTask(ctx, t, t.call.queue.Class == fleet.Overnight)
-			})
+			go e.stopAbove(t)
 		}
 	}
 }
 
+// stopAbove checkpoints an overnight task and stops any other one.
+func (e *Engine) stopAbove(t *task) {
+	ctx, cancel := context.WithTimeout(e.base, e.options.StopGrace)
+	defer cancel()
+	e.stopTask(ctx, t, t.call.queue.Class == fleet.Overnight)
+}
+
 func (e *Engine) tasksOfLocked(team string) []*task {
 	var tasks []*task
 	for _, t := range e.tasks {
@@ -217,8 +232,10 @@
 		return
 	}
 	e.mu.Lock()
+	defer e.mu.Unlock()
+	// An expiry may come before the renewal in the log. Its grants must be gone here before the lease counts again.
+	_ = e.refreshLocked() // foldLoop reports the error
 	e.holder.Renewed(sentAt)
-	e.mu.Unlock()
 }
 
 func (e *Engine) isMember() bool {
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -63,6 +63,9 @@
 		c := &call{req: Request{ID: id}, scope: scope}
 		if held, ok := e.heldClaim(c); ok {
 			best = e.recorded(held.Outcome)
+			if held.Outcome == errkind.NotRun {
+				return best
+			}
 		}
 	}
 	if issued, ok := claims.ParseIssued(id); ok {
@@ -89,7 +92,7 @@
 	statuses := e.options.Peers.Statuses()
 	replies := make(chan peer.ResultReply, len(statuses))
 	for _, p := range statuses {
-		e.work.Go(func() { replies <- e.askPeer(ctx, p.PeerAddress, scopes, id) })
+		go func() { replies <- e.askPeer(ctx, p.PeerAddress, scopes, id) }()
 	}
 	for range statuses {
 		if r := <-replies; r.Kind != errkind.RequestUnknown {
--- a/entry/once.go
+++ b/entry/once.go
@@ -58,74 +58,6 @@
 	return failed(errkind.ClaimedElsewhere, "the outcome of the first attempt with this id is not known")
 }
 
-// claim claims the id of a call in the log. The wait for the log outlives the call: a claim that is confirmed too late is closed.
-func (e *Engine) claim(c *call) (Response, bool) {
-	if held, ok := e.heldClaim(c); ok {
-		return e.claimedAnswer(c.ctx, c, held), false
-	}
-	confirmed := make(chan fleet.Result, 1)
-	abandoned := make(chan struct{})
-	e.work.Go(func() { e.submitClaim(c, confirmed, abandoned) })
-	select {
-	case r := <-confirmed:
-		return e.claimResult(c, r)
-	case <-c.ctx.Done():
-		close(abandoned)
-		return failed(errkind.ClaimUnconfirmed, "the log did not confirm the claim before the deadline"), false
-	}
-}
-
-func (e *Engine) submitClaim(c *call, confirmed chan<- fleet.Result, abandoned <-chan struct{}) {
-	results, err := e.options.Submitter.Submit(e.base, claimCommand(c))
-	if err != nil {
-		results = []fleet.Result{{Kind: errkind.ClaimUnconfirmed, Message: err.Error()}}
-	}
-	select {
-	case <-abandoned:
-		if results[0].OK() {
-			e.submitLate(closeCommand(c))
-		}
-	default:
-		confirmed <- results[0]
-	}
-}
-
-// submitLate puts a command into the log for which nobody waits.
-func (e *Engine) submitLate(command fleet.Command) {
-	// An error means that the engine ends; the id then stays claimed, which is answered as unknown.
-	_, _ = e.options.Submitter.Submit(e.base, command)
-}
-
-func (e *Engine) claimResult(c *call, r fleet.Result) (Response, bool) {
-	switch {
-	case r.OK():
-		c.claimed = true
-		return Response{}, true
-	case r.Claim != nil:
-		return e.claimedAnswer(c.ctx, c, *r.Claim), false
-	case r.Kind == errkind.IDExpired:
-		return failure(r.Err()), false
-	}
-	return failed(errkind.ClaimUnconfirmed, "%s", r.Message), false
-}
-
-func claimCommand(c *call) fleet.Command {
-	return fleet.Command{Claim: &fleet.MakeClaim{Team: c.scope, RequestID: c.req.ID}}
-}
-
-func closeCommand(c *call) fleet.Command {
-	return fleet.Command{Close: &fleet.CloseClaim{Team: c.scope, RequestID: c.req.ID}}
-}
-
-// heldClaim returns the claim of the call's id in the fold. The fold accepts a repeated claim by the same writer, so the engine
-// must look before it claims: a claim of its own from an earlier attempt bars a second run.
-func (e *Engine) heldClaim(c *call) (fleet.Claim, bool) {
-	var held fleet.Claim
-	var ok bool
-	e.options.Store.View(func(s *fleet.State) { held, ok = s.Claims.Lookup(c.scope, c.req.ID) })
-	return held, ok
-}
-
 // claimedAnswer answers for an id that is claimed or closed already. It waits for the claimant's run until ctx ends.
 func (e *Engine) claimedAnswer(ctx context.Context, c *call, held fleet.Claim) Response {
 	if held.Claimant == "" || held.Claimant == e.options.Incarnation {
@@ -206,7 +138,7 @@
 		e.mu.Unlock()
 	case c.claimed:
 		command := fleet.Command{Finish: &fleet.FinishClaim{Team: c.scope, RequestID: c.req.ID, Outcome: resp.Outcome}}
-		e.work.Go(func() { e.submitLate(command) })
+		e.goJob(func() { e.submitLate(command) })
 	}
 	return resp
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -2,18 +2,15 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/oklog/ulid/v2"
 
-	"example.org/comfreyrouter/admission"
 	"example.org/comfreyrouter/claims"
 	"example.org/comfreyrouter/errkind"
 	"example.org/comfreyrouter/fairshare"
 	"example.org/comfreyrouter/fleet"
 	"example.org/comfreyrouter/keys"
-	"example.org/comfreyrouter/routing"
 )
 
 // Request is a caller's request.
@@ -71,11 +68,12 @@
 	began time.Time
 	ctx   context.Context // ends at the deadline or when the caller leaves
 
+	resume   bool // the body is the state of a checkpointed run
 	claimed  bool // the claim is this VM's
 	attempts int  // attempts that may have started
 	refusals int  // attempts refused before the start, in a row
 	lastErr  error
-	exclude  map[string]bool // the server that failed or refused last
+	exclude  map[string]bool // the server that failed last
 	assigned chan assignment
 	item     fairshare.Item
 
@@ -107,7 +105,7 @@
 	if resp.Kind != "" {
 		e.options.Counters.Refused(resp.Kind)
 	}
-	e.options.Counters.Finished(resp.Outcome, req.Queue)
+	e.options.Counters.Finished(resp.Outcome, c.queue.Class)
 	return resp
 }
 
@@ -248,12 +246,12 @@
 
 // launch drives the call in a goroutine of its own, because a non-repeatable task goes on when its caller leaves.
 func (e *Engine) launch(c *call, f *flight, refusal error, release func()) {
-	e.work.Go(func() {
+	e.goJob(func() {
 		defer release()
 		resp := e.drive(c, refusal)
 		e.mu.Lock()
 		if keep(c, resp) {
-			e.results.Put(c.scope, c.req.ID, claims.Result(stripID(resp)))
+			e.results.Put(c.scope, c.req.ID, toResult(resp))
 		}
 		f.resp = resp
 		delete(e.flights, c.key())
@@ -262,15 +260,8 @@
 	})
 }
 
-type resultFields struct {
-	Outcome errkind.Outcome
-	Kind    errkind.Kind
-	Message string
-	Body    []byte
-}
-
-func stripID(r Response) resultFields {
-	return resultFields{r.Outcome, r.Kind, r.Message, r.Body}
+func toResult(r Response) claims.Result {
+	return claims.Result{Outcome: r.Outcome, Kind: r.Kind, Message: r.Message, Body: r.Body}
 }
 
 // keep reports whether later attempts get this answer. A repeatable request runs again unless it is done. Of a non-repeatable
@@ -279,7 +270,7 @@
 	if resp.Outcome == errkind.Done {
 		return resp.Kind == ""
 	}
-	return c.kind != repeatable && c.attempts > 0
+	return c.kind != repeatable && (c.attempts > 0 || c.resume)
 }
 
 // waitOwn waits for the call that this caller started.
@@ -300,8 +291,11 @@
 	case <-f.done:
 		return f.resp
 	case <-timer.C:
-		return failed(errkind.ClaimUnconfirmed, "the outcome was not settled in time")
 	}
+	if c.kind == repeatable {
+		return failed(errkind.RequestTimeout, "the outcome was not settled in time")
+	}
+	return failed(errkind.ClaimUnconfirmed, "the outcome was not settled in time")
 }
 
 func (e *Engine) mayRun(c *call) bool {
@@ -343,100 +337,3 @@
 		}
 	}
 }
-
-// admit refuses what cannot be served.
-func (e *Engine) admit(c *call) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.shuttingDown {
-		return errkind.New(errkind.ShuttingDown, "this entry VM is shutting down")
-	}
-	load := e.loadLocked(c)
-	if err := admission.Check(e.options.Admission, load, len(c.req.Body), time.Until(c.began.Add(c.req.TimeLeft))); err != nil {
-		return err
-	}
-	if len(e.flights) > 2*e.options.Admission.MaxWaiting+len(e.tasks) {
-		return errkind.New(errkind.QueueFull, "%d requests are in progress", len(e.flights))
-	}
-	e.budget.OnRequest()
-	return nil
-}
-
-// loadLocked estimates the delay from learned run times only, and only while requests of the team wait: a wrong declared or learned
-// run time must never shut a queue for good.
-func (e *Engine) loadLocked(c *call) admission.Load {
-	load := admission.Load{WaitingBytes: e.waitingBytes}
-	q := e.queues[c.queue.Pool]
-	if q == nil {
-		return load
-	}
-	load.Waiting = q.Len()
-	ahead := q.Waiting(c.team)
-	if ahead == 0 {
-		return load
-	}
-	load.RunTime = e.runTimes.Estimate(c.req.Queue, c.team, 0)
-	parallel := max(1, e.running[c.queue.Pool][c.team])
-	load.StartDelay = time.Duration(ahead/parallel) * load.RunTime
-	return load
-}
-
-// retry decides about another attempt after err, and waits before it.
-func (e *Engine) retry(c *call, a assignment, err error) bool {
-	k := errkind.Of(err)
-	c.lastErr = err
-	if routing.Started(k) {
-		c.attempts++
-		c.refusals = 0
-	} else {
-		c.refusals++
-	}
-	if c.ctx.Err() != nil && routing.Started(k) {
-		return false
-	}
-	e.mu.Lock()
-	again := routing.MayRetry(k, c.kind == repeatable, c.attempts, e.budget)
-	others := len(e.byPool[c.queue.Pool]) > 1
-	e.mu.Unlock()
-	if !again || routing.Started(k) && !others {
-		return false
-	}
-	c.exclude = nil
-	if others {
-		c.exclude = map[string]bool{a.server: true}
-	}
-	e.options.Counters.Retried(k)
-	if !routing.Started(k) {
-		sleep(c.ctx, refusalBackoff(c.refusals))
-	}
-	return true
-}
-
-// Backoff after a refusal before the start.
-const (
-	minRefusalBackoff = 10 * time.Millisecond
-	maxRefusalBackoff = 500 * time.Millisecond
-)
-
-func refusalBackoff(refusals int) time.Duration {
-	return min(minRefusalBackoff<<min(refusals-1, 10), maxRefusalBackoff)
-}
-
-// lastFailure is the answer after attempts that may have started.
-func (e *Engine) lastFailure(c *call) Response {
-	switch {
-	case errors.Is(context.Cause(c.ctx), errDeadline) && c.kind == repeatable:
-		return failed(errkind.RequestTimeout, "the deadline passed while the task ran")
-	case c.attempts >= routing.MaxAttempts:
-		return failed(errkind.AttemptsExhausted, "%d attempts failed, the last one with: %v", c.attempts, c.lastErr)
-	}
-	return failure(c.lastErr)
-}
-
-// endWaiting ends a call that waits for a server.
-func (e *Engine) endWaiting(c *call, err error) Response {
-	if c.attempts > 0 {
-		return e.finish(c, e.lastFailure(c))
-	}
-	return e.closeUnrun(c, err)
-}
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -26,16 +26,17 @@
 
 // server is what the engine knows of a backend server.
 type server struct {
-	address  string
-	pool     string
-	centre   string
-	slots    int
-	epoch    uint64
-	serving  bool // by the fold
-	draining bool // by the server itself
-	clock    clockSample
-	polledAt time.Time
-	polling  bool
+	address     string
+	pool        string
+	centre      string
+	slots       int
+	connections int // this VM's part of the connections to the server
+	epoch       uint64
+	serving     bool // by the fold
+	draining    bool // by the server itself
+	clock       clockSample
+	polledAt    time.Time
+	polling     bool
 	// refusals and coolUntil keep work away from a server that refuses, until its status says why.
 	refusals  int
 	coolUntil time.Time
@@ -71,8 +72,9 @@
 		s.pool, s.centre, s.epoch = vm.Pool, declared.DataCentre, vm.Epoch
 		s.serving = vm.Available()
 		s.slots = declared.Slots
+		s.connections = s.slots
 		if declared.Connections > 0 {
-			s.slots = min(s.slots, max(1, declared.Connections/share)+e.remoteLoad[name])
+			s.connections = max(1, declared.Connections/share)
 		}
 		byPool[vm.Pool] = append(byPool[vm.Pool], name)
 	}
@@ -92,7 +94,7 @@
 	var candidates []routing.Server
 	for _, name := range e.byPool[pool] {
 		s := e.servers[name]
-		if !s.serving || s.draining || now.Sub(s.clock.receivedAt) > maxSampleAge || now.Before(s.coolUntil) {
+		if !s.serving || s.draining || now.Sub(s.clock.receivedAt) > maxSampleAge || now.Before(s.coolUntil) || e.local[name] >= s.connections {
 			continue
 		}
 		candidates = append(candidates, routing.Server{
@@ -129,7 +131,7 @@
 		s.polling = true
 		s.polledAt = now
 		until := e.leasesLocked(name, s, now)
-		e.work.Go(func() { e.pollServer(ctx, name, s, until) })
+		go e.pollServer(ctx, name, s, until)
 	}
 }
 
--- a/entry/view.go
+++ b/entry/view.go
@@ -103,6 +103,7 @@
 	e.options.Store.View(func(s *fleet.State) { members = maps.Clone(s.Members) })
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	_ = e.refreshLocked() // foldLoop reports the error
 	if outage && e.joined {
 		e.holder.Renewed(since)
 	}
@@ -113,6 +114,7 @@
 	e.takeLoadLocked(statuses, now)
 	e.takeWithdrawnLocked(statuses, config)
 	e.dispatchAllLocked()
+	e.preemptLocked(now)
 }
 
 // majorityLocked reports whether this VM is in contact with a majority of the data centres that have entry VMs.
@@ -179,7 +181,9 @@
 	}
 	bound := freshnessBound(o.Store.Config())
 	for _, p := range o.Peers.Statuses() {
-		st.LogReadable = st.LogReadable || p.LogReadable && now.Sub(p.AskedAt) <= bound
+		// Only the peer's own reads count: otherwise two VMs that cannot read would go on confirming each other.
+		own := p.LogReadable && now.Sub(p.AskedAt)+p.ReadAge <= bound
+		st.LogReadable = st.LogReadable || own
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
