--- a/reconcile/reconcile.go
+++ b/reconcile/reconcile.go
@@ -17,7 +17,6 @@
 	"example.org/comfreyrouter/fleet"
 	"example.org/comfreyrouter/logclient"
 	"example.org/comfreyrouter/maintenance"
-	"example.org/comfreyrouter/pools"
 )
 
 // Servers is the part of the backend client that the reconciler needs.
@@ -39,8 +38,6 @@
 type View interface {
 	// Confirmed reports whether the state was confirmed by the log a moment ago.
 	Confirmed() bool
-	// Demand returns the slots that running and waiting requests need, by pool, fleet-wide.
-	Demand() map[string]int
 	// Busy returns the running tasks by backend server, fleet-wide.
 	Busy() map[string]int
 }
@@ -57,7 +54,8 @@
 	Logger      zerolog.Logger
 	Interval    time.Duration // time between two rounds
 	Timeout     time.Duration // bound on each call to a server or the platform
-	Planner     pools.Options
+	// Parallel bounds the servers that are called at one time, so that silent ones do not hold up a round.
+	Parallel int
 	// DownAfter is how long a server must not answer before it is reported down.
 	DownAfter time.Duration
 }
@@ -67,20 +65,17 @@
 	DefaultInterval  = time.Second
 	DefaultTimeout   = 2 * time.Second
 	DefaultDownAfter = 10 * time.Second
+	DefaultParallel  = 16
 )
 
 // servingRounds is the number of rounds after which a serving VM is looked at again. VMs in other phases are looked at in every round. It
 // keeps the control traffic of an entry VM within its bound at 600 servers.
 const servingRounds = 5
 
-// parallelSteps bounds the servers that are called at one time, so that silent ones do not hold up a round.
-const parallelSteps = 16
-
 // Reconciler runs the rounds of one entry VM.
 type Reconciler struct {
-	o       Options
-	planner *pools.Planner
-	round   uint64
+	o     Options
+	round uint64
 
 	mu     sync.Mutex
 	silent map[string]time.Time // since when a server has not answered
@@ -97,10 +92,10 @@
 	if o.DownAfter == 0 {
 		o.DownAfter = DefaultDownAfter
 	}
-	if o.Planner == (pools.Options{}) {
-		o.Planner = pools.DefaultOptions()
+	if o.Parallel == 0 {
+		o.Parallel = DefaultParallel
 	}
-	return &Reconciler{o: o, planner: pools.NewPlanner(o.Planner), silent: map[string]time.Time{}}
+	return &Reconciler{o: o, silent: map[string]time.Time{}}
 }
 
 // Run runs rounds until ctx ends.
@@ -130,7 +125,7 @@
 	r.round++
 	listed := r.listed(ctx)
 	var group errgroup.Group
-	group.SetLimit(parallelSteps)
+	group.SetLimit(r.o.Parallel)
 	for _, a := range r.assignments() {
 		if !r.due(a) {
 			continue
