Tell peers only what a VM reads by itself of the log

Cause: a VM called the log readable if a peer did, and that peer if the VM did, so after the log had gone both went on for ever and an outage for all was never seen. The VM's own reads and what it heard from peers are two fields now, and only the former is passed on.

--- a/entry/view.go
+++ b/entry/view.go
@@ -25,7 +25,7 @@
 		answered[p.Incarnation] = true
 		v.Peers = append(v.Peers, keys.PeerView{
 			DataCentre: p.DataCentre, AskedAt: p.AskedAt, Offset: p.Offset, ReadAge: p.ReadAge,
-			LogReadable: p.LogReadable, Gone: p.Gone,
+			LogReadable: p.LogReadable || p.HeardReadable, Gone: p.Gone,
 		})
 	}
 	o.Store.View(func(s *fleet.State) {
@@ -64,6 +64,16 @@
 	return errkind.New(errkind.ViewNotFresh, "this VM cannot confirm that the key was not withdrawn in the last %v", freshnessBound(config))
 }
 
+// Fresh reports whether keys may be accepted on this VM's view.
+func (e *Engine) Fresh() bool { return e.checkFresh(e.options.Store.Config()) == nil }
+
+// LeaseLeft returns the time until the lease on the VM's grants ends, 0 if it has ended.
+func (e *Engine) LeaseLeft() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(0, time.Until(e.holder.LeaseEnd()))
+}
+
 // Withdraw makes this VM and its peers refuse a key at once, before its withdrawal is in the log.
 func (e *Engine) Withdraw(keyID string) {
 	e.mu.Lock()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -17,8 +17,10 @@
 	PeerAddress string
 	// Offset is the VM's offset in the log.
 	Offset uint64
-	// LogReadable is set if the VM, or a peer it heard from within the freshness bound, can read the log.
+	// LogReadable is set if the VM's own last read of the log succeeded.
 	LogReadable bool
+	// HeardReadable is set if a peer from which the VM heard within the freshness bound could read the log by itself.
+	HeardReadable bool
 	// ReadAge is how long ago the VM last read the log to its end by itself.
 	ReadAge time.Duration
 	// Running is the number of the VM's running tasks by pool and team.
