--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"example.org/comfreyrouter/entry"
 	"example.org/comfreyrouter/events"
 	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/internal/httpserve"
 	"example.org/comfreyrouter/kernel"
 	"example.org/comfreyrouter/logclient"
 	"example.org/comfreyrouter/metrics"
@@ -238,35 +239,20 @@
 	}), nil
 }
 
-// serve serves HTTP on a listener until ctx ends, and then finishes the calls in progress.
-func serve(ctx context.Context, l net.Listener, h http.Handler) error {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-	stopped := make(chan error, 1)
-	stop := context.AfterFunc(ctx, func() {
-		wait, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
-		defer cancel()
-		stopped <- server.Shutdown(wait)
-	})
-	err := server.Serve(l)
-	if stop() {
-		return err
-	}
-	return <-stopped
-}
-
-const (
-	readHeaderTimeout = 10 * time.Second
-	closeTimeout      = 5 * time.Second
-)
+// callerGrace is how long answers have to reach their callers after a stop. Requests have been finished by the drain service before.
+const callerGrace = 2 * time.Second
 
 // httpService serves HTTP as a service of the kernel.
 type httpService struct {
 	listener net.Listener
 	handler  http.Handler
+	grace    time.Duration // for calls in progress at a stop
 }
 
 // Run serves until ctx ends.
-func (s *httpService) Run(ctx context.Context) error { return serve(ctx, s.listener, s.handler) }
+func (s *httpService) Run(ctx context.Context) error {
+	return httpserve.Serve(ctx, s.listener, s.handler, s.grace)
+}
 
 func (d *daemon) newCallers(l kernel.Lookup) (any, error) {
 	e, err := kernel.Get[*entry.Engine](l, serviceEngine)
@@ -278,6 +264,7 @@
 	return &httpService{
 		listener: netutil.LimitListener(d.listeners.caller, d.Settings.Limits.MaxCallerConnections),
 		handler:  callerapi.New(e, o),
+		grace:    callerGrace,
 	}, nil
 }
 
@@ -298,7 +285,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", parts.metrics.Handler())
 	mux.Handle("/", api)
-	return &httpService{listener: netutil.LimitListener(d.listeners.operator, d.Settings.Limits.MaxOperatorConnections), handler: mux}, nil
+	return &httpService{listener: netutil.LimitListener(d.listeners.operator, d.Settings.Limits.MaxOperatorConnections), handler: mux, grace: operatorapi.CloseGrace}, nil
 }
 
 func (d *daemon) newReconciler(l kernel.Lookup) (any, error) {
--- a/declare/declare.go
+++ b/declare/declare.go
@@ -48,15 +48,18 @@
 
 // Load reads all .yaml and .yml files below dir, except hidden ones, and checks them together. The error has one line for
 // each fault of any file, with file, line and column.
-func Load(dir string) (*Declarations, error) {
-	names, err := yamlFiles(dir)
+func Load(dir string) (*Declarations, error) { return LoadFS(os.DirFS(dir), dir) }
+
+// LoadFS is Load for a file system. dir is put before the file names in messages.
+func LoadFS(files fs.FS, dir string) (*Declarations, error) {
+	names, err := yamlFiles(files)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.InvalidConfig, err)
 	}
 	if len(names) == 0 {
 		return nil, errkind.New(errkind.InvalidConfig, "%s: no .yaml file", dir)
 	}
-	l := newLoader(dir)
+	l := newLoader(files, dir)
 	for _, name := range names {
 		if err := l.readFile(name); err != nil {
 			return nil, errkind.Wrap(errkind.InvalidConfig, err)
@@ -65,13 +68,13 @@
 	return l.finish()
 }
 
-func yamlFiles(dir string) ([]string, error) {
+func yamlFiles(files fs.FS) ([]string, error) {
 	var names []string
-	err := filepath.WalkDir(dir, func(path string, entry fs.DirEntry, err error) error {
+	err := fs.WalkDir(files, ".", func(path string, entry fs.DirEntry, err error) error {
 		if err != nil {
 			return err
 		}
-		hidden := path != dir && strings.HasPrefix(entry.Name(), ".")
+		hidden := path != "." && strings.HasPrefix(entry.Name(), ".")
 		if hidden && entry.IsDir() {
 			return fs.SkipDir
 		}
@@ -85,6 +88,7 @@
 }
 
 type loader struct {
+	files        fs.FS
 	dir          string
 	declarations *Declarations
 	places       strictyaml.Places
@@ -92,8 +96,9 @@
 	unreadable   bool // a file has faults that leave its content incomplete
 }
 
-func newLoader(dir string) *loader {
+func newLoader(files fs.FS, dir string) *loader {
 	return &loader{
+		files:        files,
 		dir:          dir,
 		declarations: &Declarations{Config: fleet.NewConfig()},
 		places:       strictyaml.Places{"": {File: dir}},
@@ -101,10 +106,11 @@
 }
 
 func (l *loader) readFile(name string) error {
-	data, err := os.ReadFile(name)
+	data, err := fs.ReadFile(l.files, name)
 	if err != nil {
 		return err
 	}
+	name = filepath.Join(l.dir, name)
 	f := file{Policy: fleet.NewConfig().Policy}
 	places, problems := strictyaml.Decode(name, data, &f)
 	l.problems = append(l.problems, problems...)
--- /dev/null
+++ b/dev/cluster.go
@@ -0,0 +1,320 @@
+// Package dev brings up a whole fleet in one process, for trying out: a stand-in for the platform, stand-in backend servers, and real
+// entry VMs on loopback ports, with the sample declarations of Rutnät.
+package dev
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io/fs"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"example.org/comfreyrouter/backend"
+	"example.org/comfreyrouter/ctl"
+	"example.org/comfreyrouter/daemon"
+	"example.org/comfreyrouter/declare"
+	"example.org/comfreyrouter/examples"
+	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/internal/standin/platform"
+	"example.org/comfreyrouter/keys"
+	"example.org/comfreyrouter/logclient"
+	"example.org/comfreyrouter/operatorapi"
+	"example.org/comfreyrouter/settings"
+)
+
+// Options are the settings of a Cluster.
+type Options struct {
+	Logger zerolog.Logger
+	// OnStart is called for every task that starts on a backend server, with the server's name. It may be nil.
+	OnStart func(server string, t backend.Task)
+}
+
+// Cluster is a running fleet.
+type Cluster struct {
+	options      Options
+	platform     *platform.Server
+	core         *platform.Core
+	declarations *declare.Declarations
+	workers      map[string]*worker
+	entries      []*entryVM
+	// Keys has one key of each team, by team.
+	Keys map[string]string
+}
+
+// anyPort asks the system for a free port on loopback.
+var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
+
+// Start brings up a fleet and waits until every entry VM takes requests.
+func Start(ctx context.Context, o Options) (*Cluster, error) {
+	c := &Cluster{options: o, workers: map[string]*worker{}, Keys: map[string]string{}}
+	if err := c.start(ctx); err != nil {
+		return nil, errors.Join(err, c.Close())
+	}
+	return c, nil
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	if err := c.load(); err != nil {
+		return err
+	}
+	if err := c.startPlatform(); err != nil {
+		return err
+	}
+	if err := c.startWorkers(); err != nil {
+		return err
+	}
+	for _, name := range sorted(c.declarations.Config.EntryVMs) {
+		if err := c.StartEntry(ctx, name); err != nil {
+			return err
+		}
+	}
+	if err := c.publish(ctx); err != nil {
+		return err
+	}
+	return c.awaitServing(ctx)
+}
+
+func (c *Cluster) load() error {
+	files, err := fs.Sub(examples.Files, "rutnat")
+	if err != nil {
+		return err
+	}
+	c.declarations, err = declare.LoadFS(files, "examples/rutnat")
+	return err
+}
+
+// listLag is how far the stand-in's list of VMs lags.
+const listLag = 2 * time.Second
+
+func (c *Cluster) startPlatform() error {
+	c.core = platform.NewCore(platform.Options{ListLag: listLag, Reboot: c.reboot})
+	server, err := platform.Listen(anyPort.String(), c.core)
+	if err != nil {
+		return err
+	}
+	c.platform = server
+	return nil
+}
+
+func (c *Cluster) startWorkers() error {
+	config := c.declarations.Config
+	for _, name := range sorted(config.Servers) {
+		declared := config.Servers[name]
+		w := &worker{name: name, slots: declared.Slots, address: anyPort.String(), onStart: c.options.OnStart}
+		if err := w.start(); err != nil {
+			return err
+		}
+		c.workers[name] = w
+		declared.Address = w.address
+		config.Servers[name] = declared
+		c.core.SetVM(logclient.VM{Name: name, Address: w.address, State: logclient.VMLive})
+	}
+	return nil
+}
+
+func (c *Cluster) reboot(_ context.Context, name string) error {
+	w, ok := c.workers[name]
+	if !ok {
+		return fmt.Errorf("VM %q does not exist", name)
+	}
+	w.kill()
+	return w.start()
+}
+
+// KillWorker stops a backend server as a crash does.
+func (c *Cluster) KillWorker(name string) { c.workers[name].kill() }
+
+// entryVM is one entry VM with its own settings.
+type entryVM struct {
+	name      string
+	addresses daemon.Addresses
+	cancel    context.CancelFunc
+	done      chan error
+}
+
+// StartEntry starts an entry VM. A successor of one that has stopped gets the same name.
+func (c *Cluster) StartEntry(ctx context.Context, name string) error {
+	s := settings.Settings{
+		Name:            name,
+		DataCentre:      c.declarations.Config.EntryVMs[name].DataCentre,
+		CallerAddress:   anyPort,
+		OperatorAddress: anyPort,
+		PeerAddress:     anyPort,
+		PlatformAddress: netip.MustParseAddrPort(c.platform.Addr()),
+		DrainTimeout:    settings.DefaultDrainTimeout,
+		Limits:          settings.DefaultLimits(),
+	}
+	for _, e := range c.entries {
+		s.Peers = append(s.Peers, netip.MustParseAddrPort(e.addresses.Peer))
+	}
+	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	e := &entryVM{name: name, cancel: cancel, done: make(chan error, 1)}
+	listening := make(chan daemon.Addresses, 1)
+	logger := c.options.Logger.With().Str("entry_vm", name).Logger()
+	go func() {
+		e.done <- daemon.Run(run, daemon.Options{
+			Settings: s, Logger: logger, Listening: func(a daemon.Addresses) { listening <- a },
+		})
+	}()
+	select {
+	case e.addresses = <-listening:
+	case err := <-e.done:
+		cancel()
+		return err
+	}
+	c.entries = append(c.entries, e)
+	c.core.SetVM(logclient.VM{Name: name, Address: e.addresses.Peer, State: logclient.VMLive})
+	return nil
+}
+
+// StopEntry shuts an entry VM down gracefully.
+func (c *Cluster) StopEntry(name string) error {
+	i := slices.IndexFunc(c.entries, func(e *entryVM) bool { return e.name == name })
+	if i < 0 {
+		return fmt.Errorf("entry VM %q is not running", name)
+	}
+	e := c.entries[i]
+	c.entries = slices.Delete(c.entries, i, i+1)
+	e.cancel()
+	return <-e.done
+}
+
+// Callers returns the callers' addresses of the entry VMs.
+func (c *Cluster) Callers() []string {
+	var out []string
+	for _, e := range c.entries {
+		out = append(out, e.addresses.Caller)
+	}
+	return out
+}
+
+// Operators returns the operators' addresses of the entry VMs.
+func (c *Cluster) Operators() []string {
+	var out []string
+	for _, e := range c.entries {
+		out = append(out, e.addresses.Operator)
+	}
+	return out
+}
+
+// Client returns a client of the operators' interface of the first entry VM.
+func (c *Cluster) Client() (*ctl.Client, error) { return ctl.NewClient(c.Operators()[0], "") }
+
+// Config returns the configuration in force as an operator sees it.
+func (c *Cluster) Config(ctx context.Context) (*fleet.Config, error) {
+	client, err := c.Client()
+	if err != nil {
+		return nil, err
+	}
+	current := fleet.NewConfig()
+	return current, client.Call(ctx, "GET", "/v1/config", nil, current)
+}
+
+// publish applies the declarations as an operator does, and gives every team a key.
+func (c *Cluster) publish(ctx context.Context) error {
+	client, err := c.Client()
+	if err != nil {
+		return err
+	}
+	current, err := c.Config(ctx)
+	if err != nil {
+		return err
+	}
+	var accepted operatorapi.Accepted
+	apply := operatorapi.Apply{
+		Guard:   operatorapi.Guard{ID: "dev-declarations", Expect: &current.Version, By: "dev"},
+		Changes: declare.Diff(current, c.declarations),
+	}
+	if err := client.Call(ctx, "POST", "/v1/apply", apply, &accepted); err != nil {
+		return err
+	}
+	for _, team := range sorted(c.declarations.Config.Teams) {
+		key := rand.Text()
+		give := operatorapi.GiveKey{
+			Guard: operatorapi.Guard{ID: "dev-key-" + team, Expect: &accepted.Version, By: "dev"},
+			KeyID: "key-" + team, Team: team, Hash: keys.Hash(key),
+		}
+		if err := client.Call(ctx, "POST", "/v1/keys", give, &accepted); err != nil {
+			return err
+		}
+		c.Keys[team] = key
+	}
+	return nil
+}
+
+// pollInterval is how often waits look again.
+const pollInterval = 20 * time.Millisecond
+
+// awaitServing waits until every entry VM has the declarations and takes requests.
+func (c *Cluster) awaitServing(ctx context.Context) error {
+	want := len(c.declarations.Config.Teams)
+	for _, address := range c.Operators() {
+		client, err := ctl.NewClient(address, "")
+		if err != nil {
+			return err
+		}
+		for {
+			var status operatorapi.ClusterStatus
+			current := fleet.NewConfig()
+			err := errors.Join(
+				client.Call(ctx, "GET", "/v1/status", nil, &status),
+				client.Call(ctx, "GET", "/v1/config", nil, current))
+			if err != nil {
+				return err
+			}
+			if status.Node.Ready && len(current.Keys) >= want {
+				break
+			}
+			if err := wait(ctx, pollInterval); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Close shuts everything down: the entry VMs gracefully and at the same time, then the stand-ins.
+func (c *Cluster) Close() error {
+	var group sync.WaitGroup
+	errs := make([]error, len(c.entries))
+	for i, e := range c.entries {
+		group.Go(func() {
+			e.cancel()
+			errs[i] = <-e.done
+		})
+	}
+	group.Wait()
+	for _, w := range c.workers {
+		w.kill()
+	}
+	if c.platform != nil {
+		errs = append(errs, c.platform.Close())
+	}
+	return errors.Join(errs...)
+}
+
+func sorted[V any](m map[string]V) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/httpserve/httpserve.go
@@ -0,0 +1,34 @@
+// Package httpserve serves HTTP as a service that ends gracefully.
+package httpserve
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+)
+
+// readHeaderTimeout bounds the time in which a caller sends the headers of a request.
+const readHeaderTimeout = 10 * time.Second
+
+// Serve serves HTTP on a listener until ctx ends, and then finishes the calls in progress within grace. Connections that
+// are still open after grace are closed; most of them never carried a request.
+func Serve(ctx context.Context, l net.Listener, h http.Handler, grace time.Duration) error {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	stopped := make(chan error, 1)
+	stop := context.AfterFunc(ctx, func() {
+		wait, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
+		defer cancel()
+		err := server.Shutdown(wait)
+		if errors.Is(err, context.DeadlineExceeded) {
+			err = server.Close()
+		}
+		stopped <- err
+	})
+	err := server.Serve(l)
+	if stop() {
+		return err
+	}
+	return <-stopped
+}
--- a/internal/standin/backendserver/http.go
+++ b/internal/standin/backendserver/http.go
@@ -26,6 +26,7 @@
 	e.POST("/v1/drain", func(c echo.Context) error { return s.postDraining(c, true) })
 	e.POST("/v1/undrain", func(c echo.Context) error { return s.postDraining(c, false) })
 	e.POST("/v1/faults", s.postFaults)
+	e.POST("/v1/reboot", s.postReboot)
 	e.GET("/v1/status", func(c echo.Context) error { return c.JSON(http.StatusOK, s.Status()) })
 	return e
 }
@@ -152,6 +153,12 @@
 	return c.JSON(http.StatusOK, s.Status())
 }
 
+// postReboot takes the place of the platform's access to a VM: the worker starts again as a new process.
+func (s *Server) postReboot(c echo.Context) error {
+	s.restart()
+	return c.JSON(http.StatusOK, s.Status())
+}
+
 func (s *Server) postFaults(c echo.Context) error {
 	var f Faults
 	if err := c.Bind(&f); err != nil {
--- a/internal/standin/backendserver/server.go
+++ b/internal/standin/backendserver/server.go
@@ -235,6 +235,28 @@
 	s.draining = draining
 }
 
+// Kill ends all tasks, as the end of the process does.
+func (s *Server) Kill() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+	for _, t := range s.tasks {
+		t.cancel(errStopped)
+	}
+}
+
+// restart forgets everything, as a new process at the same address does. Tasks that run end.
+func (s *Server) restart() {
+	s.Kill()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.start = time.Now()
+	s.seen = map[string]bool{}
+	s.fences = map[string]uint64{}
+	s.poolEpoch = 0
+	s.draining = false
+}
+
 // Status returns the state of the worker.
 func (s *Server) Status() backend.Status {
 	s.mu.Lock()
--- a/operatorapi/server.go
+++ b/operatorapi/server.go
@@ -3,14 +3,12 @@
 package operatorapi
 
 import (
-	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -58,9 +56,8 @@
 	maxBodyBytes = 4 << 20
 	// maxIDBytes bounds the ids that the fold remembers.
 	maxIDBytes = 128
-	// readHeaderTimeout and shutdownTimeout bound idle connections and the wait for calls at a planned stop.
-	readHeaderTimeout = 5 * time.Second
-	shutdownTimeout   = DefaultSubmitTimeout + time.Second
+	// CloseGrace is how long calls in progress have at a planned stop.
+	CloseGrace = DefaultSubmitTimeout + time.Second
 )
 
 // Server is the operators' interface of one entry VM.
@@ -88,22 +85,6 @@
 // ServeHTTP answers one call.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.echo.ServeHTTP(w, r) }
 
-// Serve answers calls on a listener until ctx ends, and then finishes the calls in progress.
-func (s *Server) Serve(ctx context.Context, l net.Listener) error {
-	server := &http.Server{Handler: s, ReadHeaderTimeout: readHeaderTimeout}
-	stopped := make(chan error, 1)
-	stop := context.AfterFunc(ctx, func() {
-		wait, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
-		defer cancel()
-		stopped <- server.Shutdown(wait)
-	})
-	err := server.Serve(l)
-	if stop() {
-		return err
-	}
-	return <-stopped
-}
-
 func (s *Server) routes() {
 	v1 := s.echo.Group("/v1", s.authenticate)
 	v1.GET("/config", s.config)
