Lend the spare pools' servers to urgent work, and checkpoint overnight work on draining servers

Urgent calls that find no server of their own pool now start on the spare pools, which keep the preset's reserve.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -118,15 +120,26 @@
 	}
 }
 
-// dispatchLocked starts as many waiting calls of a pool as limits, slots and shares allow.
+// dispatchLocked starts as many waiting calls of a pool as limits, slots and shares allow: first on the pool's own servers, then urgent ones on the
+// spare pools' servers.
 func (e *Engine) dispatchLocked(pool string) {
 	q := e.queues[pool]
 	if q == nil || q.Len() == 0 || !e.joined {
 		return
 	}
 	now := time.Now()
-	servers := e.candidatesLocked(pool, now)
-	view := e.fairViewLocked(pool, servers, now)
+	own := e.candidatesLocked(pool, now)
+	e.fillLocked(q, own, e.fairViewLocked(pool, own, now), now)
+	if q.Len() == 0 {
+		return
+	}
+	if spare := e.lendableLocked(pool, now); len(spare) > 0 {
+		e.fillLocked(q, spare, lentView(e.fairViewLocked(pool, spare, now)), now)
+	}
+}
+
+// fillLocked starts waiting calls on servers. Calls that find no server go back to their queue.
+func (e *Engine) fillLocked(q *fairshare.Queue, servers []routing.Server, view fairshare.View, now time.Time) {
 	var aside []fairshare.Item
 	for {
 		item, ok := q.Next(view)
@@ -154,6 +167,25 @@
 	}
 }
 
+// lendableLocked returns the servers of the spare pools that may take work of a full pool.
+func (e *Engine) lendableLocked(pool string, now time.Time) []routing.Server {
+	var servers []routing.Server
+	config := e.options.Store.Config()
+	for _, name := range slices.Sorted(maps.Keys(config.Pools)) {
+		if config.Pools[name].Spare && name != pool {
+			servers = append(servers, e.candidatesLocked(name, now)...)
+		}
+	}
+	return servers
+}
+
+// lentView keeps the preset's reserve of the spare pools free for their own queues, and lends to urgent work only.
+func lentView(v fairshare.View) fairshare.View {
+	v.Free -= v.Reserve
+	v.Reserve = v.Free
+	return v
+}
+
 func (e *Engine) fairViewLocked(pool string, servers []routing.Server, now time.Time) fairshare.View {
 	config := e.options.Store.Config()
 	view := fairshare.View{Shares: map[string]int{}, Running: map[string]int{}}
@@ -306,11 +338,11 @@
 	case checkpointed:
 	case k == "":
 		e.runTimes.Observe(c.req.Queue, c.team, runTime)
-		e.health.Report(a.server, true, e.byPool[a.task.pool], now)
+		e.reportLocked(a.server, true, now)
 	case k == errkind.BackendRefused:
 		e.refusedLocked(a.server, now)
 	case c.ctx.Err() == nil && !a.task.stopping:
-		e.health.Report(a.server, false, e.byPool[a.task.pool], now)
+		e.reportLocked(a.server, false, now)
 	}
 	if k == "" || k == errkind.BackendRefused || k == errkind.BackendFailed {
 		e.endLocked(a.task)
@@ -323,3 +355,10 @@
 		e.endLocked(a.task)
 	})
 }
+
+// reportLocked notes the end of a task for the health of its server, among the servers of the server's own pool.
+func (e *Engine) reportLocked(name string, ok bool, now time.Time) {
+	if s, known := e.servers[name]; known {
+		e.health.Report(name, ok, e.byPool[s.pool], now)
+	}
+}
--- a/entry/preempt.go
+++ b/entry/preempt.go
@@ -35,6 +35,19 @@
 	}
 }
 
+// vacateLocked checkpoints this VM's overnight tasks on servers that are to be drained, so that a drain does not wait for them. They resume on
+// another server.
+func (e *Engine) vacateLocked() {
+	for _, t := range e.tasks {
+		s, ok := e.servers[t.server]
+		if !ok || !s.leaving || t.stopping || t.lost || t.call.queue.Class != fleet.Overnight {
+			continue
+		}
+		t.stopping = true
+		go e.stopAbove(t)
+	}
+}
+
 // overnightLocked returns the overnight tasks of a pool, those that are stopping already first, then the newest.
 func (e *Engine) overnightLocked(pool string) []*task {
 	var tasks []*task
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -33,6 +33,7 @@
 	connections int // this VM's part of the connections to the server
 	epoch       uint64
 	serving     bool // by the fold
+	leaving     bool // being drained or moved, by the fold
 	draining    bool // by the server itself
 	clock       clockSample
 	polledAt    time.Time
@@ -71,6 +72,7 @@
 		}
 		s.pool, s.centre, s.epoch = vm.Pool, declared.DataCentre, vm.Epoch
 		s.serving = vm.Available()
+		s.leaving = vm.Phase == fleet.Draining || vm.Phase == fleet.Moving
 		s.slots = declared.Slots
 		s.connections = s.slots
 		if declared.Connections > 0 {
--- a/entry/view.go
+++ b/entry/view.go
@@ -125,6 +125,7 @@
 	e.takeWithdrawnLocked(statuses, config)
 	e.dispatchAllLocked()
 	e.preemptLocked(now)
+	e.vacateLocked()
 }
 
 // majorityLocked reports whether this VM is in contact with a majority of the data centres that have entry VMs.
