Test the fold with random commands, and repair what they found

- A preset with an empty name could be put in force and deleted, so that none was in force.
Names must not be empty.
- A pool could be deleted while a VM that was declared elsewhere was in it or moving to it.
- Several removals of servers in one change were each checked alone, so that together they broke a pool's minimum.
- A move could end in the new pool although the VM had failed meanwhile, which broke the new pool's budget.
It can be abandoned, or completed once the VM is up.

The limit of kept claims is a variable now, so that a test needs few claims to drop one. Ruled out: an oracle message about a claim that was closed by two writers; the trace shows that its claimant had closed it first, which is allowed.

--- a/fleet/apply_claims.go
+++ b/fleet/apply_claims.go
@@ -7,8 +7,8 @@
 )
 
 // maxClaims is the number of claims that are kept. Ids at or below the floor of dropped ones are refused, so dropping a claim
-// never lets its request run again.
-const maxClaims = 100_000
+// never lets its request run again. Only tests, which need few claims to drop one, change it.
+var maxClaims = 100_000
 
 // Claims holds the newest claims, in log order, and the floor of the dropped ones.
 type Claims struct {
--- a/fleet/apply_config.go
+++ b/fleet/apply_config.go
@@ -44,10 +44,13 @@
 	}
 	next := s.Config.Clone()
 	for _, change := range c.Changes {
-		if r := s.change(next, change); !r.OK() {
+		if r := change.apply(next); !r.OK() {
 			return r
 		}
 	}
+	if r := s.checkVMs(next); !r.OK() {
+		return r
+	}
 	if problems := next.Validate(); len(problems) > 0 {
 		return reject(errkind.InvalidConfig, "%s", joinProblems(problems))
 	}
@@ -76,7 +79,7 @@
 	return strings.Join(lines, "; ")
 }
 
-func (s *State) change(next *Config, c Change) Result {
+func (c Change) apply(next *Config) Result {
 	switch {
 	case c.InForce != nil:
 		if _, ok := next.Presets[*c.InForce]; !ok {
@@ -102,7 +105,7 @@
 	case c.Rack != nil:
 		set(next.Racks, c.Rack)
 	case c.Server != nil:
-		return s.setServer(next, c.Server)
+		set(next.Servers, c.Server)
 	case c.EntryVM != nil:
 		set(next.EntryVMs, c.EntryVM)
 	case c.Policy != nil:
@@ -144,17 +147,27 @@
 	return Result{}
 }
 
-// setServer changes a declaration of a backend server. A new VM enters its declared pool; the pool of a VM that the
-// fold knows changes by a move only, because it may be running tasks.
-func (s *State) setServer(next *Config, o *Object[BackendServer]) Result {
-	if o.Value == nil {
-		if vm, ok := s.VMs[o.Name]; ok && vm.Available() {
-			if r := s.checkBudgets(next, o.Name); !r.OK() {
+// checkVMs checks a configuration against the agreed state of the VMs. The pool of a VM that the fold knows changes by a move
+// only, because it may be running tasks; so a pool stays while VMs are in it or move to it, wherever they were declared. Each
+// VM that is no longer declared counts as unavailable in its pool's budgets.
+func (s *State) checkVMs(next *Config) Result {
+	for _, name := range sortedKeys(s.VMs) {
+		vm := s.VMs[name]
+		if _, stays := next.Servers[name]; !stays {
+			if !vm.Available() {
+				continue
+			}
+			if r := s.checkBudgets(next, name); !r.OK() {
 				return r
 			}
+			continue
+		}
+		for _, pool := range []string{vm.Pool, vm.MoveTo} {
+			if _, ok := next.Pools[pool]; !ok && pool != "" {
+				return reject(errkind.InvalidConfig, "pool %q does not exist, and VM %q is in it or moves to it", pool, name)
+			}
 		}
 	}
-	set(next.Servers, o)
 	return Result{}
 }
 
--- a/fleet/apply_vms.go
+++ b/fleet/apply_vms.go
@@ -6,12 +6,12 @@
 // exceeded, with every VM that is unavailable already counted, planned or not.
 func (s *State) checkBudgets(c *Config, name string) Result {
 	vm := s.VMs[name]
-	server := c.Servers[name]
+	server := s.declared(c, name)
 	pool := c.Pools[vm.Pool]
 	out := s.unavailable(c, name)
 	left := 0
 	for other, v := range s.VMs {
-		if other != name && v.Pool == vm.Pool && v.Available() {
+		if other != name && v.Pool == vm.Pool && s.stays(c, other) {
 			left++
 		}
 	}
@@ -38,13 +38,13 @@
 func (s *State) unavailable(c *Config, except string) unavailableCounts {
 	var out unavailableCounts
 	own := s.VMs[except]
-	server := c.Servers[except]
+	server := s.declared(c, except)
 	service := c.Pools[own.Pool].Service
 	for name, v := range s.VMs {
-		if name == except || v.Available() {
+		if name == except || s.stays(c, name) {
 			continue
 		}
-		other := c.Servers[name]
+		other := s.declared(c, name)
 		if v.Pool == own.Pool {
 			out.pool++
 		}
@@ -61,6 +61,20 @@
 	return out
 }
 
+// stays reports whether a VM is available and still declared in c.
+func (s *State) stays(c *Config, name string) bool {
+	_, ok := c.Servers[name]
+	return ok && s.VMs[name].Available()
+}
+
+// declared returns the declaration of a VM in c, or the one in force if c removes it.
+func (s *State) declared(c *Config, name string) BackendServer {
+	if server, ok := c.Servers[name]; ok {
+		return server
+	}
+	return s.Config.Servers[name]
+}
+
 // health records an unplanned failure or its end. It needs no budget: what has failed has failed.
 func (s *State) health(c *ReportHealth) Result {
 	vm, ok := s.VMs[c.VM]
@@ -124,6 +138,9 @@
 		s.markMaintained(c, vm)
 		vm.Wave = ""
 	case vm.Phase == Moving && c.To == Serving:
+		if vm.Down && !c.Abandon {
+			return reject(errkind.BudgetExceeded, "VM %q is down and would count as unavailable in pool %q", c.VM, vm.MoveTo)
+		}
 		if !c.Abandon {
 			vm.Pool = vm.MoveTo
 		}
--- a/fleet/validate.go
+++ b/fleet/validate.go
@@ -20,6 +20,7 @@
 // configuration too.
 func (c *Config) Validate() []Problem {
 	v := &validator{config: c}
+	v.names()
 	v.presets()
 	v.teams()
 	v.keys()
@@ -52,6 +53,27 @@
 	}
 }
 
+// names rejects empty names: an empty name of a preset in force means that none is.
+func (v *validator) names() {
+	c := v.config
+	unnamed(v, "presets", c.Presets)
+	unnamed(v, "keys", c.Keys)
+	unnamed(v, "teams", c.Teams)
+	unnamed(v, "queues", c.Queues)
+	unnamed(v, "pools", c.Pools)
+	unnamed(v, "services", c.Services)
+	unnamed(v, "data_centres", c.Centres)
+	unnamed(v, "racks", c.Racks)
+	unnamed(v, "backend_servers", c.Servers)
+	unnamed(v, "entry_vms", c.EntryVMs)
+}
+
+func unnamed[T any](v *validator, path string, objects map[string]T) {
+	if _, ok := objects[""]; ok {
+		v.add(path, "has an object without a name")
+	}
+}
+
 func (v *validator) presets() {
 	c := v.config
 	if c.InForce != "" {
