Test the log client, the peers and the stand-in platform

One of them found that a connection was closed by its idle deadline while a forwarded request of a minute ran on it; the deadline is gone, since TCP's keep-alive probes find broken connections.

--- /dev/null
+++ b/logclient/log_test.go
@@ -0,0 +1,312 @@
+package logclient_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"example.org/comfreyrouter/errkind"
+	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/internal/standin/platform"
+	"example.org/comfreyrouter/logclient"
+)
+
+// vm is the log's side of an entry VM.
+type vm struct {
+	store    *fleet.Store
+	follower *logclient.Follower
+	writer   *logclient.Writer
+	mu       sync.Mutex
+	events   map[logclient.Event]int
+}
+
+// run calls test in a bubble with a platform. What test starts ends with it.
+func run(t *testing.T, o platform.Options, test func(ctx context.Context, t *testing.T, core *platform.Core)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		core := platform.NewCore(o)
+		test(ctx, t, core)
+		cancel()
+		core.Close()
+		synctest.Wait()
+	})
+}
+
+func startVM(ctx context.Context, core *platform.Core, name string, fallback logclient.Fallback) *vm {
+	v := &vm{store: fleet.NewStore(), events: map[logclient.Event]int{}}
+	log := core.Client(platform.Caller{Name: name, DataCentre: "dc-" + name})
+	v.writer = logclient.NewWriter(logclient.WriterOptions{Log: log, Store: v.store, Incarnation: "inc-" + name, Count: v.count})
+	v.follower = logclient.NewFollower(logclient.FollowerOptions{Log: log, Store: v.store, Fallback: fallback, Count: v.count})
+	go v.writer.Run(ctx)
+	go v.follower.Run(ctx)
+	return v
+}
+
+func (v *vm) count(e logclient.Event) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.events[e]++
+}
+
+func (v *vm) counted(e logclient.Event) int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.events[e]
+}
+
+func (v *vm) leaseSeq(incarnation string) (seq uint64) {
+	v.store.View(func(s *fleet.State) { seq = s.Members[incarnation].LeaseSeq })
+	return seq
+}
+
+func (v *vm) join(ctx context.Context, t *testing.T, name string) {
+	results, err := v.writer.Submit(ctx, fleet.Command{Join: &fleet.Join{VM: name}})
+	require.NoError(t, err)
+	require.True(t, results[0].OK())
+}
+
+func renew() fleet.Command { return fleet.Command{Renew: &fleet.Renew{}} }
+
+// peerOf is a Fallback that reads another VM directly.
+type peerOf struct{ other *vm }
+
+func (p peerOf) Fetch(_ context.Context, from uint64, limit int) (logclient.Fetched, error) {
+	records, ok := p.other.follower.Recent(from, limit)
+	if ok {
+		return logclient.Fetched{Records: records}, nil
+	}
+	var data []byte
+	p.other.store.View(func(s *fleet.State) { data, _ = s.Encode() })
+	state, err := fleet.DecodeState(data)
+	return logclient.Fetched{State: state}, err
+}
+
+// Guards against a command that is applied twice, or never, because the answer of its append was lost.
+func TestLostAnswerAppliesOnce(t *testing.T) {
+	run(t, platform.Options{}, func(ctx context.Context, t *testing.T, core *platform.Core) {
+		v := startVM(ctx, core, "a", nil)
+		v.join(ctx, t, "a")
+		core.SetFaults(platform.Faults{LoseAnswers: 3})
+		_, err := v.writer.Submit(ctx, renew())
+		require.NoError(t, err)
+		time.Sleep(time.Minute)
+		require.Equal(t, uint64(2), v.leaseSeq("inc-a"))
+	})
+}
+
+// Guards against an append that lands late, after its repeat and after later batches, and has an effect.
+func TestDelayedCopyHasNoEffect(t *testing.T) {
+	run(t, platform.Options{}, func(ctx context.Context, t *testing.T, core *platform.Core) {
+		v := startVM(ctx, core, "a", nil)
+		v.join(ctx, t, "a")
+		core.SetFaults(platform.Faults{HoldAppends: 1, HoldMillis: 10_000})
+		for range 3 {
+			_, err := v.writer.Submit(ctx, renew())
+			require.NoError(t, err)
+		}
+		before := v.store.Offset()
+		time.Sleep(time.Minute)
+		require.Equal(t, before+1, v.store.Offset(), "the late copy is in the log")
+		require.Equal(t, uint64(4), v.leaseSeq("inc-a"))
+	})
+}
+
+// Guards against commands that are lost or repeated over an outage, and against more appends than one per interval.
+func TestOutageThenRecovery(t *testing.T) {
+	run(t, platform.Options{}, func(ctx context.Context, t *testing.T, core *platform.Core) {
+		v := startVM(ctx, core, "a", nil)
+		v.join(ctx, t, "a")
+		core.SetFaults(platform.Faults{Outage: true})
+		time.Sleep(10 * time.Second)
+		require.False(t, v.follower.Readable())
+		short, cancel := context.WithTimeout(ctx, time.Second)
+		_, err := v.writer.Submit(short, renew())
+		cancel()
+		require.Equal(t, errkind.LogUnavailable, errkind.Of(err))
+		var waiting sync.WaitGroup
+		for range 100 {
+			waiting.Go(func() {
+				_, err := v.writer.Submit(ctx, renew())
+				if err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		time.Sleep(time.Minute)
+		appended := v.store.Offset()
+		core.SetFaults(platform.Faults{})
+		waiting.Wait()
+		require.LessOrEqual(t, v.store.Offset()-appended, uint64(2), "100 commands go in few batches")
+		require.Equal(t, uint64(101), v.leaseSeq("inc-a"), "the abandoned command was never sent")
+		time.Sleep(5 * time.Second)
+		require.True(t, v.follower.Readable())
+		require.Less(t, time.Since(v.follower.ReadAt()), 3*time.Second)
+	})
+}
+
+// Guards against a VM that cannot start, or starts from a wrong state, once retention has removed the start of the log, and
+// against snapshots that are written by several VMs at once or not in time.
+func TestRestartFromSnapshotInLog(t *testing.T) {
+	run(t, platform.Options{KeepRecords: 100}, func(ctx context.Context, t *testing.T, core *platform.Core) {
+		vms := []*vm{startVM(ctx, core, "a", nil), startVM(ctx, core, "b", nil), startVM(ctx, core, "c", nil)}
+		for i, v := range vms {
+			name := string(rune('a' + i))
+			v.join(ctx, t, name)
+			go logclient.NewSnapshotter(logclient.SnapshotterOptions{
+				Store: v.store, Submitter: v.writer, Incarnation: "inc-" + name, First: v.follower.First, Count: v.count,
+			}).Run(ctx)
+		}
+		for range 2000 {
+			_, err := vms[0].writer.Submit(ctx, renew())
+			require.NoError(t, err)
+			time.Sleep(100 * time.Millisecond)
+		}
+		late := startVM(ctx, core, "d", nil)
+		time.Sleep(10 * time.Second)
+		require.Equal(t, 1, late.counted(logclient.EventRestored))
+		require.Equal(t, vms[0].leaseSeq("inc-a"), late.leaseSeq("inc-a"))
+		require.Equal(t, vms[0].store.Offset(), late.store.Offset())
+		written := 0
+		for _, v := range vms {
+			written += v.counted(logclient.EventSnapshotWritten)
+		}
+		require.InDelta(t, 2000/50, written, 15, "about one snapshot for each half of the retention")
+	})
+}
+
+// Guards against a new VM that cannot start while the platform is down, and against a VM cut off from the platform that does
+// not follow through a peer, or that goes back to a lower offset.
+func TestFollowThroughPeer(t *testing.T) {
+	run(t, platform.Options{}, func(ctx context.Context, t *testing.T, core *platform.Core) {
+		a := startVM(ctx, core, "a", nil)
+		a.join(ctx, t, "a")
+		b := startVM(ctx, core, "b", peerOf{a})
+		core.SetFaults(platform.Faults{Cut: []string{"dc-b"}})
+		highest := uint64(0)
+		b.store.OnApplied(func(applied fleet.Applied) { highest = max(highest, applied.Offset) })
+		for range 20 {
+			_, err := a.writer.Submit(ctx, renew())
+			require.NoError(t, err)
+			time.Sleep(14 * time.Second)
+			require.Equal(t, a.store.Offset(), b.store.Offset(), "in force everywhere within 14 s")
+		}
+		require.False(t, b.follower.Readable())
+		require.Equal(t, b.store.Offset(), highest)
+		core.SetFaults(platform.Faults{Outage: true})
+		c := startVM(ctx, core, "c", peerOf{b})
+		time.Sleep(14 * time.Second)
+		require.Equal(t, a.store.Offset(), c.store.Offset())
+		require.Equal(t, a.leaseSeq("inc-a"), c.leaseSeq("inc-a"))
+		require.True(t, c.follower.ReadAt().IsZero())
+	})
+}
+
+// scriptedLog answers reads from a fixed list of pages, then fails.
+type scriptedLog struct{ pages []logclient.Page }
+
+func (l *scriptedLog) Append(context.Context, []byte) (uint64, error) {
+	return 0, errors.New("no append")
+}
+
+func (l *scriptedLog) Read(context.Context, uint64, int, time.Duration) (logclient.Page, error) {
+	if len(l.pages) == 0 {
+		return logclient.Page{}, errors.New("the script has ended")
+	}
+	page := l.pages[0]
+	l.pages = l.pages[1:]
+	return page, nil
+}
+
+// Guards against an offset that goes back or skips a record when the log answers with old pages, pages with gaps, or an end
+// before the state's offset, and against a malformed record that stops the follower.
+func TestOffsetNeverGoesBackOrSkips(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		page := func(next uint64, data string, offsets ...uint64) logclient.Page {
+			p := logclient.Page{First: 1, Next: next}
+			for _, o := range offsets {
+				p.Records = append(p.Records, logclient.Record{Offset: o, Data: []byte(data)})
+			}
+			return p
+		}
+		log := &scriptedLog{pages: []logclient.Page{
+			page(4, `{}`, 1, 2, 3), page(3, `{}`, 1, 2), page(7, `{}`, 5, 6), page(6, `not json`, 2, 3, 4, 5), page(2, `{}`),
+		}}
+		store := fleet.NewStore()
+		var seen []uint64
+		store.OnApplied(func(a fleet.Applied) { seen = append(seen, a.Offset) })
+		f := logclient.NewFollower(logclient.FollowerOptions{Log: log, Store: store})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		require.NoError(t, f.Run(ctx))
+		require.Equal(t, []uint64{1, 2, 3, 4, 5}, seen)
+		require.Equal(t, uint64(2), f.Malformed())
+		old, err := fleet.NewState().Encode()
+		require.NoError(t, err)
+		state, err := fleet.DecodeState(old)
+		require.NoError(t, err)
+		require.False(t, store.Install(state))
+	})
+}
+
+// Guards against a submission that waits for ever, or is told a wrong result, when a snapshot jumps over its batch.
+func TestSnapshotOverPendingBatch(t *testing.T) {
+	run(t, platform.Options{}, func(ctx context.Context, t *testing.T, core *platform.Core) {
+		other := startVM(ctx, core, "b", nil)
+		v := &vm{store: fleet.NewStore(), events: map[logclient.Event]int{}}
+		log := core.Client(platform.Caller{Name: "a"})
+		v.writer = logclient.NewWriter(logclient.WriterOptions{Log: log, Store: v.store, Incarnation: "inc-a"})
+		go v.writer.Run(ctx)
+		failed := make(chan error, 1)
+		go func() {
+			_, err := v.writer.Submit(ctx, fleet.Command{Join: &fleet.Join{VM: "a"}})
+			failed <- err
+		}()
+		time.Sleep(5 * time.Second)
+		fetched, err := peerOf{other}.Fetch(ctx, 0, 1)
+		require.NoError(t, err)
+		require.True(t, v.store.Install(fetched.State))
+		require.Equal(t, errkind.LogUnavailable, errkind.Of(<-failed))
+	})
+}
+
+// Guards against a queue that grows without bound in an outage, and against batches beyond their bounds.
+func TestBoundsOfWriter(t *testing.T) {
+	run(t, platform.Options{}, func(ctx context.Context, t *testing.T, core *platform.Core) {
+		store := fleet.NewStore()
+		sizes := map[int]bool{}
+		store.OnApplied(func(a fleet.Applied) { sizes[len(a.Batch.Commands)] = true })
+		log := core.Client(platform.Caller{Name: "a"})
+		w := logclient.NewWriter(logclient.WriterOptions{
+			Log: log, Store: store, Incarnation: "inc-a", BatchCommands: 4, QueueSubmissions: 10,
+		})
+		var refused, answered int
+		var mu sync.Mutex
+		var submitted sync.WaitGroup
+		for i := range 12 {
+			submitted.Go(func() {
+				wave := fleet.Command{Wave: &fleet.SetWave{Name: fmt.Sprint(i, strings.Repeat("x", 100))}}
+				_, err := w.Submit(ctx, wave)
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					refused++
+				} else {
+					answered++
+				}
+			})
+		}
+		synctest.Wait()
+		go w.Run(ctx)
+		go logclient.NewFollower(logclient.FollowerOptions{Log: log, Store: store}).Run(ctx)
+		submitted.Wait()
+		require.Equal(t, []int{2, 10}, []int{refused, answered})
+		require.Equal(t, map[int]bool{4: true, 2: true}, sizes)
+	})
+}
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -16,8 +16,6 @@
 	MaxMessageBytes = 64 << 20
 	// maxPending bounds the calls of one connection that are served at a time.
 	maxPending = 1024
-	// idleTimeout ends a connection without calls. Heartbeats come every 250 ms.
-	idleTimeout = time.Minute
 	// writeTimeout ends a server's connection whose other side takes nothing.
 	writeTimeout = 10 * time.Second
 )
@@ -54,7 +52,6 @@
 	enc     *gob.Encoder
 	out     *bufio.Writer
 	pending chan struct{} // nil for a client
-	idle    time.Duration // 0 for a client
 	stuck   time.Duration // bounds a write
 }
 
@@ -82,7 +79,6 @@
 func newServerCodec(conn net.Conn, limit int64) *codec {
 	c := newCodec(conn, limit)
 	c.pending = make(chan struct{}, maxPending)
-	c.idle = idleTimeout
 	return c
 }
 
@@ -114,11 +110,9 @@
 
 var _ rpc.ServerCodec = serverCodec{}
 
-// ReadRequestHeader waits while too many calls of the connection are served.
+// ReadRequestHeader waits while too many calls of the connection are served. It sets no deadline: a forwarded request may run
+// for hours without another message, and a broken connection is found by TCP's keep-alive probes.
 func (s serverCodec) ReadRequestHeader(r *rpc.Request) error {
-	if err := s.conn.SetReadDeadline(time.Now().Add(s.idle)); err != nil {
-		return err
-	}
 	if err := s.readHeader(r); err != nil {
 		return err
 	}
