--- a/logclient/log_test.go
+++ b/logclient/log_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"strings"
@@ -127,10 +128,18 @@
 		time.Sleep(10 * time.Second)
 		require.False(t, v.follower.Readable())
 		short, cancel := context.WithTimeout(ctx, time.Second)
-		_, err := v.writer.Submit(short, renew())
-		cancel()
-		require.Equal(t, errkind.LogUnavailable, errkind.Of(err))
+		defer cancel()
 		var waiting sync.WaitGroup
+		for range 2 { // the second one waits behind the first
+			waiting.Go(func() {
+				_, err := v.writer.Submit(short, renew())
+				if errkind.Of(err) != errkind.LogUnavailable {
+					t.Error(err)
+				}
+			})
+			time.Sleep(100 * time.Millisecond)
+		}
+		waiting.Wait()
 		for range 100 {
 			waiting.Go(func() {
 				_, err := v.writer.Submit(ctx, renew())
@@ -144,7 +153,7 @@
 		core.SetFaults(platform.Faults{})
 		waiting.Wait()
 		require.LessOrEqual(t, v.store.Offset()-appended, uint64(2), "100 commands go in few batches")
-		require.Equal(t, uint64(101), v.leaseSeq("inc-a"), "the abandoned command was never sent")
+		require.Equal(t, uint64(101), v.leaseSeq("inc-a"), "the abandoned commands were never sent")
 		time.Sleep(5 * time.Second)
 		require.True(t, v.follower.Readable())
 		require.Less(t, time.Since(v.follower.ReadAt()), 3*time.Second)
@@ -208,6 +217,41 @@
 	})
 }
 
+// Guards against a VM that takes a snapshot although records after it are gone, and so folds a log with a hole.
+func TestSnapshotBeforeGapIsNotUsed(t *testing.T) {
+	run(t, platform.Options{KeepRecords: 3}, func(ctx context.Context, t *testing.T, core *platform.Core) {
+		state := fleet.NewState()
+		state.Apply(1, fleet.Batch{})
+		data, err := state.Encode()
+		require.NoError(t, err)
+		for offset := range 6 {
+			batch := fleet.Batch{}
+			if offset == 4 {
+				batch.Commands = fleet.Split("old", 1, data)
+			}
+			record, err := json.Marshal(batch)
+			require.NoError(t, err)
+			_, err = core.Append(ctx, platform.Caller{}, record)
+			require.NoError(t, err)
+		}
+		v := startVM(ctx, core, "a", nil)
+		time.Sleep(time.Minute)
+		require.Zero(t, v.store.Offset())
+		require.Positive(t, v.counted(logclient.EventRestoreFailed))
+	})
+}
+
+// Guards against a VM that takes more than its part of the platform's appends.
+func TestOneAppendPerInterval(t *testing.T) {
+	run(t, platform.Options{}, func(ctx context.Context, t *testing.T, core *platform.Core) {
+		v := startVM(ctx, core, "a", nil)
+		for began := time.Now(); time.Since(began) < time.Second; {
+			v.join(ctx, t, "a")
+		}
+		require.LessOrEqual(t, v.store.Offset(), uint64(time.Second/logclient.DefaultInterval)+1)
+	})
+}
+
 // scriptedLog answers reads from a fixed list of pages, then fails.
 type scriptedLog struct{ pages []logclient.Page }
 
@@ -221,6 +265,7 @@
 	}
 	page := l.pages[0]
 	l.pages = l.pages[1:]
+	time.Sleep(time.Second)
 	return page, nil
 }
 
@@ -236,7 +281,7 @@
 			return p
 		}
 		log := &scriptedLog{pages: []logclient.Page{
-			page(4, `{}`, 1, 2, 3), page(3, `{}`, 1, 2), page(7, `{}`, 5, 6), page(6, `not json`, 2, 3, 4, 5), page(2, `{}`),
+			page(4, `{}`, 1, 2, 3), page(3, `{}`, 1, 2), page(7, `{}`, 5, 6), page(8, `not json`, 2, 3, 4, 5), page(2, `{}`),
 		}}
 		store := fleet.NewStore()
 		var seen []uint64
@@ -244,7 +289,9 @@
 		f := logclient.NewFollower(logclient.FollowerOptions{Log: log, Store: store})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
+		began := time.Now()
 		require.NoError(t, f.Run(ctx))
+		require.Equal(t, began, f.ReadAt(), "only the first page reached the end of the log")
 		require.Equal(t, []uint64{1, 2, 3, 4, 5}, seen)
 		require.Equal(t, uint64(2), f.Malformed())
 		old, err := fleet.NewState().Encode()
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -43,6 +43,13 @@
 	return l
 }
 
+// alias gives a listener a second address.
+func (n *network) alias(second, address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listeners[second] = n.listeners[address]
+}
+
 func (n *network) setSilent(address string, silent bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -144,8 +151,9 @@
 			a := start(ctx, n, core, "a", recentBytes)
 			defer a.server.Close()
 			core.SetFaults(platform.Faults{Cut: []string{"b"}})
-			b := start(ctx, n, core, "b", recentBytes, "a", "b")
+			b := start(ctx, n, core, "b", recentBytes, "a", "b2")
 			defer b.server.Close()
+			n.alias("b2", "b")
 			time.Sleep(14 * time.Second)
 			require.Equal(t, uint64(5), b.Store.Offset())
 			appendWaves(ctx, t, core, 5)
