--- a/fleet/apply_config.go
+++ b/fleet/apply_config.go
@@ -44,7 +44,7 @@
 	}
 	next := s.Config.Clone()
 	for _, change := range c.Changes {
-		if r := applyChange(next, change); !r.OK() {
+		if r := change.apply(next); !r.OK() {
 			return r
 		}
 	}
@@ -79,7 +79,7 @@
 	return strings.Join(lines, "; ")
 }
 
-func applyChange(next *Config, c Change) Result {
+func (c Change) apply(next *Config) Result {
 	switch {
 	case c.InForce != nil:
 		if _, ok := next.Presets[*c.InForce]; !ok {
@@ -147,36 +147,31 @@
 	return Result{}
 }
 
-// checkVMs rejects a configuration without the pool of a VM that stays, and one whose removed VMs together leave a pool with fewer
-// available VMs than it needs.
+// checkVMs checks a configuration against the agreed state of the VMs. The pool of a VM that the fold knows changes by a move
+// only, because it may be running tasks; so a pool stays while VMs are in it or move to it, wherever they were declared. Each
+// VM that is no longer declared counts as unavailable in its pool's budgets.
 func (s *State) checkVMs(next *Config) Result {
-	left := map[string]int{}
-	removed := map[string]bool{}
 	for _, name := range sortedKeys(s.VMs) {
 		vm := s.VMs[name]
 		if _, stays := next.Servers[name]; !stays {
-			removed[vm.Pool] = removed[vm.Pool] || vm.Available()
+			if !vm.Available() {
+				continue
+			}
+			if r := s.checkBudgets(next, name); !r.OK() {
+				return r
+			}
 			continue
 		}
 		for _, pool := range []string{vm.Pool, vm.MoveTo} {
 			if _, ok := next.Pools[pool]; !ok && pool != "" {
-				return reject(errkind.InvalidConfig, "pools.%s: VM %q belongs to the pool or moves to it", pool, name)
+				return reject(errkind.InvalidConfig, "pool %q does not exist, and VM %q is in it or moves to it", pool, name)
 			}
 		}
-		if vm.Available() {
-			left[vm.Pool]++
-		}
-	}
-	for _, pool := range sortedKeys(removed) {
-		if need := next.Pools[pool].Min; removed[pool] && left[pool] < need {
-			return reject(errkind.BudgetExceeded, "pool %q needs %d VMs and would have %d", pool, need, left[pool])
-		}
 	}
 	return Result{}
 }
 
-// syncVMs gives each newly declared backend server a VM in its declared pool and drops the VMs that are no longer declared. The pool of a VM
-// that the fold knows changes by a move only, because it may be running tasks.
+// syncVMs gives each newly declared backend server a VM in its declared pool and drops the VMs that are no longer declared.
 func (s *State) syncVMs() {
 	for name, server := range s.Config.Servers {
 		if _, ok := s.VMs[name]; !ok {
