Hold back a grant while it is given back, and settle standing wants in the fold

The holder now takes its state by Observe and Confirmed, and counts a give-back as gone when it is planned. The fold keeps wants and serves them from what is freed, lowest holder first. Watcher.Contact notes contact to a majority and restarts all counts after a gap.

--- a/fleet/apply_config.go
+++ b/fleet/apply_config.go
@@ -54,6 +54,7 @@
 	next.Version++
 	s.Config = next
 	s.syncVMs()
+	s.settleAll()
 	r := Result{Version: next.Version}
 	s.Configured.add(c.ID, r)
 	return r
--- a/fleet/apply_grants.go
+++ b/fleet/apply_grants.go
@@ -1,9 +1,11 @@
 package fleet
 
+import "slices"
+
 // The invariant of grants: for each team, the sum of all grants never rises while it is at or above the team's limit.
 // A lowered limit leaves the sum above it until holders have given back the excess; until then nobody gets more.
 
-// ask sets the writer's wants and grants what is free, firm parts first.
+// ask sets the writer's wants and grants what is free.
 func (s *State) ask(writer string, c *AskGrants) Result {
 	s.renew(writer)
 	for _, w := range c.Wants {
@@ -12,41 +14,142 @@
 		}
 		g := s.GrantOf(w.Team, writer)
 		g.Want = max(0, w.Count)
-		if missing := g.Want - g.Total(); missing > 0 {
-			g.Leased += min(missing, s.free(w.Team))
-		}
 		s.setGrant(w.Team, writer, g)
+		s.settle(w.Team)
 	}
 	return Result{}
 }
 
-// giveBack lowers the writer's grants. The leased part goes first. The firm part stays.
+// giveBack lowers the writer's grants. The leased part goes first. The declared firm part stays unless the limit is
+// exceeded.
 func (s *State) giveBack(writer string, c *GiveBack) Result {
 	for _, k := range c.Keep {
+		keep := max(0, k.Count)
 		g := s.GrantOf(k.Team, writer)
-		g.Want = min(g.Want, max(0, k.Count))
-		excess := g.Total() - max(0, k.Count)
-		if excess > 0 {
-			g.Leased -= min(g.Leased, excess)
-		}
+		g.Want = min(g.Want, keep)
+		g.Leased -= min(g.Leased, max(0, g.Total()-keep))
+		declared := s.Config.Teams[k.Team].FirmPerEntryVM
 		if s.Granted(k.Team) > s.Config.Teams[k.Team].Limit {
-			g.Firm = min(g.Firm, max(0, k.Count))
+			declared = 0
 		}
+		g.Firm = min(g.Firm, max(keep, declared))
 		s.setGrant(k.Team, writer, g)
+		s.settle(k.Team)
 	}
 	return Result{}
 }
 
+// settle grants what is free of a team's limit to the members that want more than they have, so that those with the least get
+// most. A want stands until its holder changes it or its lease expires: nobody has to ask again when others give back.
+func (s *State) settle(team string) {
+	free := s.free(team)
+	if free == 0 {
+		return
+	}
+	var ids []string
+	var have, want []int
+	for _, id := range sortedKeys(s.Grants[team]) {
+		g := s.GrantOf(team, id)
+		if g.Want <= g.Total() || s.Members[id].Fenced {
+			continue
+		}
+		ids = append(ids, id)
+		have = append(have, g.Total())
+		want = append(want, g.Want)
+	}
+	for i, n := range raise(free, have, want) {
+		g := s.GrantOf(team, ids[i])
+		g.Leased += n
+		s.setGrant(team, ids[i], g)
+	}
+}
+
+func (s *State) settleAll() {
+	for team := range s.Config.Teams {
+		s.settle(team)
+	}
+}
+
+// raise returns by how much each holder rises from what it has towards what it wants, so that free is used up and the lowest
+// are raised to a common level. Of a remainder the first holders get one each.
+func raise(free int, have, want []int) []int {
+	cost := func(level int) int {
+		sum := 0
+		for i := range have {
+			sum += max(0, min(want[i], level)-have[i])
+		}
+		return sum
+	}
+	low, high := 0, 0
+	if len(want) > 0 {
+		high = slices.Max(want)
+	}
+	for low < high {
+		middle := (low + high + 1) / 2
+		if cost(middle) <= free {
+			low = middle
+		} else {
+			high = middle - 1
+		}
+	}
+	rest := free - cost(low)
+	raised := make([]int, len(have))
+	for i := range have {
+		raised[i] = max(0, min(want[i], low)-have[i])
+		if rest > 0 && want[i] > low && have[i] <= low {
+			raised[i]++
+			rest--
+		}
+	}
+	return raised
+}
+
+// Demand is what other members want of a team's limit.
+type Demand struct {
+	// Contested is set if another live member wants more than it has.
+	Contested bool
+	wants     []int
+	// before is the number of wants of members with a lower incarnation: of a remainder the first get one each.
+	before int
+	room   int // what live members may have together
+}
+
+// DemandBeside returns the demand of a team's live members other than self.
+func (s *State) DemandBeside(team, self string) Demand {
+	d := Demand{room: s.Config.Teams[team].Limit - s.unjoinedFirm(team)}
+	for _, id := range sortedKeys(s.Grants[team]) {
+		g := s.GrantOf(team, id)
+		switch {
+		case id == self:
+			d.before = len(d.wants)
+		case s.Members[id].Fenced:
+			d.room -= g.Total()
+		default:
+			d.Contested = d.Contested || g.Want > g.Total()
+			d.wants = append(d.wants, max(g.Want, g.Firm))
+		}
+	}
+	return d
+}
+
+// FairShare returns what a member that needs so much gets if all have the same level, or what they want if it is less.
+func (d Demand) FairShare(need int) int {
+	wants := slices.Insert(slices.Clone(d.wants), d.before, need)
+	return raise(max(0, d.room), make([]int, len(wants)), wants)[d.before]
+}
+
 // free returns how much of a team's limit may still be granted as a leased part: what is neither granted nor set aside for the
 // firm parts of entry VMs that have not joined.
 func (s *State) free(team string) int {
-	t := s.Config.Teams[team]
+	return max(0, s.Config.Teams[team].Limit-s.Granted(team)-s.unjoinedFirm(team))
+}
+
+func (s *State) unjoinedFirm(team string) int {
 	firm := 0
 	for _, g := range s.Grants[team] {
 		firm += g.Firm
 	}
-	unjoined := max(0, t.FirmPerEntryVM*len(s.Config.EntryVMs)-firm)
-	return max(0, t.Limit-s.Granted(team)-unjoined)
+	return max(0, s.Config.Teams[team].FirmPerEntryVM*len(s.Config.EntryVMs)-firm)
 }
 
 // grantFirm gives a member the firm parts of all teams as far as the limits allow. Only declared entry VMs get one.
--- a/fleet/apply_members.go
+++ b/fleet/apply_members.go
@@ -96,6 +96,7 @@
 		}
 		g.Leased, g.Want = 0, 0
 		s.setGrant(team, c.Incarnation, g)
+		s.settle(team)
 	}
 	return Result{}
 }
@@ -117,5 +118,6 @@
 	delete(s.Members, incarnation)
 	for team := range s.Grants {
 		s.setGrant(team, incarnation, Grant{})
+		s.settle(team)
 	}
 }
--- a/keys/freshness.go
+++ b/keys/freshness.go
@@ -1,6 +1,9 @@
 package keys
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // PeerView is what a member of the fleet said in its last answer to a heartbeat.
 type PeerView struct {
@@ -18,9 +21,12 @@
 
 // View is what one entry VM knows of the age of its own state.
 type View struct {
-	Offset  uint64
-	ReadAt  time.Time // start of the last read that reached the end of the log
-	Peers   []PeerView
+	Offset uint64
+	ReadAt time.Time // start of the last read that reached the end of the log
+	Peers  []PeerView
+	// Heard has what others said in the heartbeats that they sent, with AskedAt the time of receipt. It counts for
+	// Readable only, because it speaks for an unknown time before the receipt.
+	Heard   []PeerView
 	Centres []string // data centres that have declared entry VMs
 	Centre  string   // the VM's own data centre
 	// LogReadable is whether the VM's last read of the log succeeded.
@@ -79,3 +85,45 @@
 	_, outage := v.OutageForAllSince(now, bound)
 	return outage
 }
+
+// Readable returns the LogReadable of the VM's own heartbeats: it reads the log, or has heard within bound from a VM that reads
+// it or is ahead. Only reads of the peers themselves count, by their age: a VM that passed on what others had passed on
+// would keep a rumour alive for ever, and no outage for all would ever be seen.
+func (v View) Readable(now time.Time, bound time.Duration) bool {
+	if v.LogReadable {
+		return true
+	}
+	for _, p := range slices.Concat(v.Peers, v.Heard) {
+		age := now.Sub(p.AskedAt)
+		if age <= bound && (p.Offset > v.Offset || age+p.ReadAge <= bound) {
+			return true
+		}
+	}
+	return false
+}
+
+// MajorityAskedAt returns the latest time since which a majority of the data centres has been asked and has answered. A data
+// centre has answered when all of its live members have. It returns false if a majority never has.
+func (v View) MajorityAskedAt(now time.Time) (time.Time, bool) {
+	oldest := map[string]time.Time{v.Centre: now}
+	for _, p := range v.Peers {
+		if p.Gone {
+			continue
+		}
+		if at, ok := oldest[p.DataCentre]; !ok || p.AskedAt.Before(at) {
+			oldest[p.DataCentre] = p.AskedAt
+		}
+	}
+	var asked []time.Time
+	for _, c := range v.Centres {
+		if at, ok := oldest[c]; ok && !at.IsZero() {
+			asked = append(asked, at)
+		}
+	}
+	majority := len(v.Centres)/2 + 1
+	if len(asked) < majority {
+		return time.Time{}, false
+	}
+	slices.SortFunc(asked, func(a, b time.Time) int { return b.Compare(a) })
+	return asked[majority-1], true
+}
--- a/limits/holder.go
+++ b/limits/holder.go
@@ -3,6 +3,7 @@
 package limits
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -19,6 +20,9 @@
 	DefaultTaskLease = 15 * time.Second
 	// DefaultIdle is how long a grant stays unused before it is given back to teams' other holders.
 	DefaultIdle = 2 * time.Second
+	// DefaultContact is the age up to which answers of a majority of the data centres count as contact. It must be
+	// below the time for which peers pass on that a VM reads the log, see Watcher.Contact.
+	DefaultContact = 3 * time.Second
 )
 
 // Options are the settings of a Holder and a Watcher.
@@ -27,11 +31,18 @@
 	TaskLease time.Duration
 	ClockRate int // bound on the clock rate difference, one part in ClockRate
 	Idle      time.Duration
+	Contact   time.Duration
 }
 
 // DefaultOptions returns the default settings.
 func DefaultOptions() Options {
-	return Options{Lease: DefaultLease, TaskLease: DefaultTaskLease, ClockRate: DefaultClockRate, Idle: DefaultIdle}
+	return Options{
+		Lease:     DefaultLease,
+		TaskLease: DefaultTaskLease,
+		ClockRate: DefaultClockRate,
+		Idle:      DefaultIdle,
+		Contact:   DefaultContact,
+	}
 }
 
 // shortened returns d as the holder counts it, longer as everyone else does.
@@ -39,20 +50,14 @@
 
 func (o Options) lengthened(d time.Duration) time.Duration { return d + d/time.Duration(o.ClockRate) }
 
-type teamUse struct {
-	grant     fleet.Grant
-	contested bool // another holder wants more than it has
-	running   int
-	waiting   int
-	peak      int       // highest use since peakFrom
-	peakFrom  time.Time // start of the current idle window
-}
-
 // Holder counts the tasks that one entry VM runs under its grants. A task counts until its end is confirmed.
 type Holder struct {
-	options  Options
-	teams    map[string]*teamUse
-	leaseEnd time.Time
+	options   Options
+	teams     map[string]*teamUse
+	leaseEnd  time.Time
+	pending   bool // a plan's commands are on their way to the log
+	asked     bool // the pending plan asks, which renews the lease
+	plannedAt time.Time
 }
 
 // NewHolder returns a holder without grants.
@@ -66,36 +71,71 @@
 	}
 }
 
-// Expired notes that the fold took the leased grants.
-func (h *Holder) Expired() { h.leaseEnd = time.Time{} }
+// Vouched notes that in an outage of the log for all every live member has answered a heartbeat sent at askedAt or later, see
+// keys.View.OutageForAllSince. It never revives a lease that has ended: a member that sent an expiry and then crashed cannot
+// be asked, and its append may still arrive.
+func (h *Holder) Vouched(askedAt, now time.Time) {
+	if now.Before(h.leaseEnd) {
+		h.Renewed(askedAt)
+	}
+}
 
-// LeaseEnd returns when the leased grants end. No task that needs one may run longer.
+// LeaseEnd returns when the leased grants end.
 func (h *Holder) LeaseEnd() time.Time { return h.leaseEnd }
 
-// SetGrant takes the holder's grant of a team from the fold; contested says that another holder wants more than it has.
-func (h *Holder) SetGrant(team string, g fleet.Grant, contested bool) {
-	t := h.team(team)
-	t.grant = g
-	t.contested = contested
+// TaskEnd returns up to when a task may run on its server if it is started or renewed at now. Rank is the task's place among
+// the counted tasks of its team, from 0 in the order of their starts. Only as many tasks as the firm part allows may
+// outlive the lease on the grants.
+func (h *Holder) TaskEnd(team string, rank int, now time.Time) time.Time {
+	end := now.Add(h.options.TaskLease)
+	if rank >= h.team(team).firm() && end.After(h.leaseEnd) {
+		return h.leaseEnd
+	}
+	return end
+}
+
+// Observe takes the grants of all teams from the fold. Self is the holder's incarnation.
+func (h *Holder) Observe(s *fleet.State, self string) {
+	for name := range s.Config.Teams {
+		h.team(name)
+	}
+	for name := range s.Grants {
+		h.team(name)
+	}
+	for name, t := range h.teams {
+		t.observe(s, name, self)
+	}
+}
+
+// Confirmed takes a state in which the commands of the last plan have been applied, or in which the writer is fenced.
+// Until then Plan gives no further commands and what was to be given back is not used.
+func (h *Holder) Confirmed(s *fleet.State, self string) {
+	h.Observe(s, self)
+	if !h.pending {
+		return
+	}
+	h.pending = false
+	for _, t := range h.teams {
+		t.giving = false
+	}
+	if h.asked {
+		h.Renewed(h.plannedAt)
+	}
 }
 
 // Allowed returns how many tasks of a team may run now.
 func (h *Holder) Allowed(team string, now time.Time) int {
-	t := h.team(team)
-	if now.Before(h.leaseEnd) {
-		return t.grant.Total()
-	}
-	return t.grant.Firm
+	return h.team(team).held(now.Before(h.leaseEnd))
 }
 
 // Start counts a task and reports true if the team may run one more.
 func (h *Holder) Start(team string, now time.Time) bool {
 	t := h.team(team)
-	if t.running >= h.Allowed(team, now) {
+	if t.running >= t.startable(now.Before(h.leaseEnd)) {
 		return false
 	}
 	t.running++
-	t.peak = max(t.peak, t.running)
+	t.peaks[0] = max(t.peaks[0], t.running)
 	return true
 }
 
@@ -116,43 +156,44 @@
 	Stop map[string]int
 }
 
-// Plan returns what to ask for, what to give back and what to stop.
+// Commands returns the commands of the plan for one batch, none if it has none.
+func (p Plan) Commands() []fleet.Command {
+	var commands []fleet.Command
+	if len(p.GiveBack) > 0 {
+		commands = append(commands, fleet.Command{GiveBack: &fleet.GiveBack{Keep: p.GiveBack}})
+	}
+	if len(p.Ask) > 0 {
+		commands = append(commands, fleet.Command{Ask: &fleet.AskGrants{Wants: p.Ask}})
+	}
+	return commands
+}
+
+// Plan returns what to ask for, what to give back and what to stop. After a plan with commands the caller appends them and
+// calls Confirmed.
 func (h *Holder) Plan(now time.Time) Plan {
 	plan := Plan{Stop: map[string]int{}}
-	for _, name := range h.names() {
+	for _, name := range slices.Sorted(maps.Keys(h.teams)) {
 		t := h.teams[name]
-		if excess := t.running - h.Allowed(name, now); excess > 0 {
+		t.note(now, h.options.Idle)
+		if excess := t.running - t.held(now.Before(h.leaseEnd)); excess > 0 {
 			plan.Stop[name] = excess
 		}
-		if want := t.running + t.waiting; want > t.grant.Total() && want != t.grant.Want {
-			plan.Ask = append(plan.Ask, fleet.TeamCount{Team: name, Count: want})
+		if h.pending {
 			continue
 		}
-		if keep, give := h.keep(t, now); give {
+		if keep, ok := t.toKeep(now, h.options.Idle); ok {
+			t.giving, t.keep = true, keep
 			plan.GiveBack = append(plan.GiveBack, fleet.TeamCount{Team: name, Count: keep})
+			continue
+		}
+		if want, ok := t.toAsk(); ok {
+			plan.Ask = append(plan.Ask, fleet.TeamCount{Team: name, Count: want})
 		}
 	}
-	return plan
-}
-
-// keep returns what a team needs of its grant and whether the rest should go back: after an idle window if others
-// ask, after ten if nobody does.
-func (h *Holder) keep(t *teamUse, now time.Time) (int, bool) {
-	need := t.running + t.waiting
-	t.peak = max(t.peak, need)
-	window := h.options.Idle
-	if !t.contested {
-		window *= 10
-	}
-	if t.peakFrom.IsZero() {
-		t.peakFrom = now
-	}
-	if now.Sub(t.peakFrom) < window {
-		return 0, false
+	if len(plan.Ask)+len(plan.GiveBack) > 0 {
+		h.pending, h.asked, h.plannedAt = true, len(plan.Ask) > 0, now
 	}
-	keep := max(t.peak, t.grant.Firm)
-	t.peak, t.peakFrom = need, now
-	return keep, keep < t.grant.Total()
+	return plan
 }
 
 func (h *Holder) team(name string) *teamUse {
@@ -163,12 +204,3 @@
 	}
 	return t
 }
-
-func (h *Holder) names() []string {
-	names := make([]string, 0, len(h.teams))
-	for name := range h.teams {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
--- a/limits/watcher.go
+++ b/limits/watcher.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -17,8 +18,9 @@
 
 // Watcher counts the leases of other members, from when this VM read the renewal, so that it never takes a grant that the holder still counts as its own.
 type Watcher struct {
-	options Options
-	members map[string]*watched
+	options      Options
+	members      map[string]*watched
+	contactUntil time.Time
 }
 
 // NewWatcher returns a watcher that has seen no member.
@@ -59,23 +61,33 @@
 	}
 }
 
-// RestartAll restarts every count. A VM calls it whenever it is not in contact with a majority of the data centres, because a
-// member that it cannot hear of may have been vouched for by all others.
+// RestartAll restarts every count.
 func (w *Watcher) RestartAll(now time.Time) {
 	for _, seen := range w.members {
 		seen.since = now
 	}
 }
 
-// Due returns the commands for leases that have lapsed and for fenced members whose task leases have run out.
+// Contact notes that a majority of the data centres has answered heartbeats sent at askedAt or later, see
+// keys.View.MajorityAskedAt. A gap in the contact, also one during which this VM was paused, restarts every count: a holder that
+// does not know of this VM may have been vouched for by all others, who have stopped hearing that this VM reads the log.
+func (w *Watcher) Contact(askedAt, now time.Time) {
+	if askedAt.After(w.contactUntil) {
+		w.RestartAll(now)
+	}
+	if until := askedAt.Add(w.options.Contact); until.After(w.contactUntil) {
+		w.contactUntil = until
+	}
+}
+
+// Due returns the commands for leases that have lapsed and for fenced members whose task leases have run out. Without
+// contact to a majority of the data centres no lease lapses.
 func (w *Watcher) Due(now time.Time) []fleet.Command {
-	ids := make([]string, 0, len(w.members))
-	for id := range w.members {
-		ids = append(ids, id)
+	if now.After(w.contactUntil) {
+		w.RestartAll(now)
 	}
-	slices.Sort(ids)
 	var due []fleet.Command
-	for _, id := range ids {
+	for _, id := range slices.Sorted(maps.Keys(w.members)) {
 		seen := w.members[id]
 		switch {
 		case seen.fenced && now.Sub(seen.fencedAt) > w.options.lengthened(w.options.TaskLease):
