--- a/claims/issuer.go
+++ b/claims/issuer.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -87,7 +88,7 @@
 	switch {
 	case id.Number < i.floor:
 		return errkind.New(errkind.IDExpired, "request id %s is older than the ids that are kept", id)
-	case id.Incarnation != i.incarnation || i.teams[id.Number] != team:
+	case id.Incarnation != i.incarnation || id.Number >= i.next || i.teams[id.Number] != team:
 		return errkind.New(errkind.RequestUnknown, "request id %s was not issued to this team", id)
 	}
 	if _, ok := i.begun[id.Number]; ok {
@@ -104,14 +105,26 @@
 	}
 }
 
-// Outcomes returns the outcome of every id that has begun, for the record of a graceful shutdown. An id that still runs is unknown.
-func (i *Issuer) Outcomes() map[string]errkind.Outcome {
-	out := make(map[string]errkind.Outcome, len(i.begun))
-	for n, outcome := range maps.All(i.begun) {
+// maxRecorded is the number of ids that the record of a graceful shutdown tells of. The fold keeps the records of 256 issuers,
+// which at about 60 bytes for an id is 15 MB at most.
+const maxRecorded = 1000
+
+// Outcomes returns, for the record of a graceful shutdown, the outcome of every id from number floor on that has begun. An id
+// that still runs is unknown. An id below the floor may have run and been forgotten, so nothing can be told of it.
+func (i *Issuer) Outcomes() (outcomes map[string]errkind.Outcome, floor uint64) {
+	numbers := slices.Sorted(maps.Keys(i.begun))
+	floor = i.floor
+	if extra := len(numbers) - maxRecorded; extra > 0 {
+		floor = numbers[extra]
+		numbers = numbers[extra:]
+	}
+	outcomes = make(map[string]errkind.Outcome, len(numbers))
+	for _, n := range numbers {
+		outcome := i.begun[n]
 		if outcome == "" {
 			outcome = errkind.Unknown
 		}
-		out[IssuedID{i.incarnation, n}.String()] = outcome
+		outcomes[IssuedID{i.incarnation, n}.String()] = outcome
 	}
-	return out
+	return outcomes, floor
 }
--- a/fleet/apply_grants.go
+++ b/fleet/apply_grants.go
@@ -106,7 +106,7 @@
 
 // Demand is what other members want of a team's limit.
 type Demand struct {
-	// Contested is set if another live member wants more than it has.
+	// Contested is set if another live member wants more than it has, or lacks its firm part.
 	Contested bool
 	wants     []int
 	// before is the number of wants of members with a lower incarnation: of a remainder the first get one each.
@@ -116,7 +116,8 @@
 
 // DemandBeside returns the demand of a team's live members other than self.
 func (s *State) DemandBeside(team, self string) Demand {
-	d := Demand{room: s.Config.Teams[team].Limit - s.unjoinedFirm(team)}
+	limit, unjoined := s.Config.Teams[team].Limit, s.unjoinedFirm(team)
+	d := Demand{room: limit - unjoined, Contested: s.Granted(team)+unjoined > limit}
 	for _, id := range sortedKeys(s.Grants[team]) {
 		g := s.GrantOf(team, id)
 		switch {
@@ -152,7 +153,8 @@
 	return max(0, s.Config.Teams[team].FirmPerEntryVM*len(s.Config.EntryVMs)-firm)
 }
 
-// grantFirm gives a member the firm parts of all teams as far as the limits allow. Only declared entry VMs get one.
+// grantFirm gives a member the firm parts of all teams, of its own leased parts first and then as far as the limits allow. Only
+// declared entry VMs get one.
 func (s *State) grantFirm(incarnation string) {
 	m := s.Members[incarnation]
 	if _, declared := s.Config.EntryVMs[m.VM]; !declared {
@@ -161,12 +163,14 @@
 	for _, name := range sortedKeys(s.Config.Teams) {
 		t := s.Config.Teams[name]
 		g := s.GrantOf(name, incarnation)
-		missing := t.FirmPerEntryVM - g.Firm
-		room := t.Limit - s.Granted(name)
-		if add := min(missing, room); add > 0 {
-			g.Firm += add
-			s.setGrant(name, incarnation, g)
-		}
+		missing := max(0, t.FirmPerEntryVM-g.Firm)
+		own := min(missing, g.Leased)
+		g.Leased -= own
+		g.Firm += own
+		room := max(0, t.Limit-s.Granted(name))
+		g.Firm += min(missing-own, room)
+		s.setGrant(name, incarnation, g)
+		s.settle(name)
 	}
 }
 
--- a/fleet/apply_members.go
+++ b/fleet/apply_members.go
@@ -7,19 +7,42 @@
 
 // Issuers remembers, for issuers that left after a graceful shutdown, the outcomes of the ids that may have run.
 type Issuers struct {
-	ByID  map[string]map[string]errkind.Outcome `json:"by_id"`
-	Order []string                              `json:"order,omitempty"`
+	ByID map[string]map[string]errkind.Outcome `json:"by_id"`
+	// Floors has the number of each issuer's first id that it could tell of.
+	Floors map[string]uint64 `json:"floors,omitempty"`
+	Order  []string          `json:"order,omitempty"`
 }
 
-func (i *Issuers) add(incarnation string, outcomes map[string]errkind.Outcome) {
+// Outcome returns what became of an id of an issuer that has left, by the id's number. It returns false if the issuer
+// has not left or has been forgotten, and Unknown for an id that the issuer itself had forgotten.
+func (i *Issuers) Outcome(incarnation string, number uint64, id string) (errkind.Outcome, bool) {
+	outcomes, ok := i.ByID[incarnation]
+	if !ok {
+		return "", false
+	}
+	if outcome, ok := outcomes[id]; ok {
+		return outcome, true
+	}
+	if number < i.Floors[incarnation] {
+		return errkind.Unknown, true
+	}
+	return errkind.NotRun, true
+}
+
+func (i *Issuers) add(incarnation string, outcomes map[string]errkind.Outcome, floor uint64) {
 	if len(i.Order) >= maxIssuers {
 		delete(i.ByID, i.Order[0])
+		delete(i.Floors, i.Order[0])
 		i.Order = i.Order[1:]
 	}
 	if outcomes == nil {
 		outcomes = map[string]errkind.Outcome{}
 	}
+	if i.Floors == nil {
+		i.Floors = map[string]uint64{}
+	}
 	i.ByID[incarnation] = outcomes
+	i.Floors[incarnation] = floor
 	i.Order = append(i.Order, incarnation)
 }
 
@@ -62,7 +85,7 @@
 
 // leave removes the writer. It runs nothing any more, so its grants are free at once.
 func (s *State) leave(writer string, c *Leave) Result {
-	s.Issuers.add(writer, c.Issued)
+	s.Issuers.add(writer, c.Issued, c.IssuedFloor)
 	s.removeMember(writer)
 	return Result{}
 }
--- a/fleet/command.go
+++ b/fleet/command.go
@@ -105,9 +105,10 @@
 
 // Leave ends the writer's membership after a graceful shutdown: it runs nothing any more and gives back all grants.
 type Leave struct {
-	// Issued has the outcome of every id that the writer issued and that may have run, so that all others are known
-	// as not run.
-	Issued map[string]errkind.Outcome `json:"issued,omitempty"`
+	// Issued has the outcome of every id from number IssuedFloor on that the writer issued and that may have run, so
+	// that all others from there on are known as not run.
+	Issued      map[string]errkind.Outcome `json:"issued,omitempty"`
+	IssuedFloor uint64                     `json:"issued_floor,omitempty"`
 }
 
 // Fence bars an incarnation for good, after the platform's list said that its VM is gone.
--- a/internal/fakefleet/fakefleet.go
+++ b/internal/fakefleet/fakefleet.go
@@ -19,7 +19,9 @@
 	Heartbeat  = 250 * time.Millisecond
 	Bound      = 10 * time.Second // freshness bound, also how long VMs pass on that a peer reads the log
 	maxDelay   = 300 * time.Millisecond
-	answerLost = 4 // one append answer in this number is lost
+	slowDelay  = 6 * time.Second
+	resend     = time.Second // time after which an append that was not read back is sent again
+	answerLost = 4           // one append answer in this number is lost
 )
 
 // epoch is the time that every clock shows at the start. It is not zero, which means never.
@@ -29,6 +31,7 @@
 type Fleet struct {
 	Elapsed time.Duration // true time since the start
 	Outage  bool          // the log answers nobody
+	Slow    bool          // appends take up to slowDelay
 	// Reliable makes messages arrive at once and loses no answer.
 	Reliable bool
 	Master   *fleet.State // fold of the whole log
@@ -70,6 +73,7 @@
 	fleet       *Fleet
 	seq         uint64
 	inFlight    *fleet.Batch
+	resendAt    time.Duration
 	confirmed   func()
 	readAt      time.Time
 	logReadable bool
@@ -87,7 +91,7 @@
 		name := fmt.Sprintf("e%d", i)
 		config.Centres[c] = fleet.DataCentre{}
 		config.EntryVMs[name] = fleet.EntryVM{DataCentre: c}
-		rate := 1 + (rng.Float64()-0.5)/float64(clockRate)
+		rate := 1 + float64(rng.Intn(3)-1)/float64(2*clockRate)
 		f.VMs = append(f.VMs, &VM{Name: name, Centre: c, Rate: rate, fleet: f})
 	}
 	f.centres = slices.Sorted(maps.Keys(config.Centres))
@@ -152,6 +156,7 @@
 	vm.seq++
 	vm.inFlight = &fleet.Batch{Writer: vm.Incarnation, Seq: vm.seq, Commands: commands}
 	vm.confirmed = confirmed
+	vm.resendAt = 0
 	return true
 }
 
@@ -168,11 +173,13 @@
 func (vm *VM) reachesLog() bool { return !vm.NoPlatform && !vm.fleet.Outage }
 
 // Send delivers a message after a random delay. Deliver returns false while the receiver cannot take it yet.
-func (f *Fleet) Send(deliver func() bool) {
+func (f *Fleet) Send(deliver func() bool) { f.sendWithin(maxDelay, deliver) }
+
+func (f *Fleet) sendWithin(most time.Duration, deliver func() bool) {
 	if f.Reliable && deliver() {
 		return
 	}
-	delay := time.Duration(f.Rand.Int63n(int64(maxDelay)))
+	delay := time.Duration(f.Rand.Int63n(int64(most)))
 	f.queue = append(f.queue, message{at: f.Elapsed + delay, deliver: deliver})
 }
 
@@ -201,7 +208,15 @@
 		return
 	}
 	batch, f := *vm.inFlight, vm.fleet
-	f.Send(func() bool {
+	if f.Elapsed < vm.resendAt {
+		return
+	}
+	vm.resendAt = f.Elapsed + resend
+	most := maxDelay
+	if f.Slow {
+		most = slowDelay
+	}
+	f.sendWithin(most, func() bool {
 		if !f.Outage {
 			f.land(batch)
 		}
@@ -315,7 +330,8 @@
 	for _, p := range vm.heard {
 		v.Heard = append(v.Heard, p)
 	}
-	for id, m := range vm.State.Members {
+	for _, id := range slices.Sorted(maps.Keys(vm.State.Members)) {
+		m := vm.State.Members[id]
 		if id == vm.Incarnation || m.Fenced {
 			continue
 		}
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -31,26 +31,45 @@
 	return map[string]fleet.Team{"firm": {Limit: 14, FirmPerEntryVM: 1}, "leased": {Limit: 9}}
 }
 
-// op is one drawn operation. Its failure lasts until a later operation of the same kind on the same target.
+// op is one operation. The failures "isolate", "platform", "others", "cut" and "outage" toggle.
 type op struct {
-	kind   string
-	node   int
-	centre int
-	count  int
-	after  time.Duration
+	kind  string
+	node  int // index of a VM, or of a pair of data centres
+	count int
+	after time.Duration // how long the fleet runs on afterwards
+}
+
+var kinds = []string{"demand", "pause", "freeze", "crash", "listed", "successor", "cut", "platform", "others", "isolate", "outage", "slow", "limit"}
+
+// stories are sequences of operations on one VM that several faults need in this order; random operations come between them.
+var stories = [][]string{
+	{"pause", "isolate", "platform", "long", "isolate", "platform"},
+	{"others", "isolate", "platform", "long", "isolate", "platform", "short", "others"},
+	{"crash", "listed", "long", "others", "isolate", "successor", "long", "long", "isolate", "others"},
+	{"outage", "long", "crash", "short", "listed", "long", "outage"},
+	{"crash", "listed"},
+	{"isolate", "platform", "short", "isolate", "blink", "isolate", "long", "platform", "isolate"},
+	{"slow", "isolate", "platform", "lapse", "isolate", "platform", "long", "slow"},
 }
 
 func drawOps(t *rapid.T) []op {
-	kinds := []string{"demand", "demand", "freeze", "crash", "successor", "cut", "platform", "isolate", "outage", "limit", "listed"}
-	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) op {
-		return op{
-			kind:   rapid.SampledFrom(kinds).Draw(t, "kind"),
-			node:   rapid.IntRange(0, len(twoPerCentre)-1).Draw(t, "node"),
-			centre: rapid.IntRange(0, 2).Draw(t, "centre"),
-			count:  rapid.IntRange(0, 15).Draw(t, "count"),
-			after:  rapid.SampledFrom([]time.Duration{0, 200 * time.Millisecond, 3 * time.Second, 35 * time.Second}).Draw(t, "after"),
+	waits := rapid.SampledFrom([]time.Duration{0, 100 * time.Millisecond, time.Second, 5 * time.Second, 35 * time.Second})
+	var ops []op
+	for range rapid.IntRange(2, 8).Draw(t, "parts") {
+		node := rapid.IntRange(0, len(twoPerCentre)-1).Draw(t, "node")
+		story := []string{rapid.SampledFrom(kinds).Draw(t, "kind")}
+		if rapid.Bool().Draw(t, "is story") {
+			story = rapid.SampledFrom(stories).Draw(t, "story")
+		}
+		for _, kind := range story {
+			o := op{kind: kind, node: node, count: rapid.IntRange(0, 15).Draw(t, "count")}
+			if len(story) == 1 || kind == "pause" {
+				o.after = waits.Draw(t, "after")
+			}
+			ops = append(ops, o)
 		}
-	}), 5, 40).Draw(t, "ops")
+	}
+	return ops
 }
 
 func (m *model) apply(o op) {
@@ -58,7 +77,13 @@
 	vm := n.vm
 	switch o.kind {
 	case "demand":
-		n.wants[[]string{"firm", "leased"}[o.centre%2]] = o.count
+		n.wants["leased"], n.wants["firm"] = o.count, o.count/2
+	case "pause":
+		vm.Frozen = !vm.Crashed
+		m.run(o.after)
+		vm.Frozen = false
+		m.run(time.Second)
+		return
 	case "freeze":
 		vm.Frozen = !vm.Frozen && !vm.Crashed
 	case "crash":
@@ -69,10 +94,14 @@
 		vm.Start()
 		m.start(n)
 	case "cut":
-		pair := [][2]string{{"a", "b"}, {"b", "c"}, {"a", "c"}}[o.centre]
+		pair := [][2]string{{"a", "b"}, {"b", "c"}, {"a", "c"}}[o.node%3]
 		m.Cut[pair] = !m.Cut[pair]
 	case "platform":
 		vm.NoPlatform = !vm.NoPlatform
+	case "others":
+		for _, other := range m.VMs {
+			other.NoPlatform = other.NoPlatform != (other != vm)
+		}
 	case "isolate":
 		vm.Isolated = !vm.Isolated
 	case "outage":
@@ -80,6 +109,16 @@
 	case "limit":
 		m.setTeam("leased", fleet.Team{Limit: o.count})
 		m.setTeam("firm", fleet.Team{Limit: 6 + o.count, FirmPerEntryVM: o.count % 2})
+	case "slow":
+		m.Slow = !m.Slow
+	case "lapse": // to about when the others count the lease as lapsed
+		m.run(m.options.Lease + time.Duration(o.count)*200*time.Millisecond)
+	case "blink":
+		m.run(600 * time.Millisecond)
+	case "short":
+		m.run(5 * time.Second)
+	case "long":
+		m.run(m.options.Lease * 6 / 5)
 	}
 	m.run(o.after)
 }
@@ -91,7 +130,12 @@
 		seed := rapid.Int64().Draw(t, "seed")
 		ops := drawOps(t)
 		m := newModel(seed, twoPerCentre, scaledTeams(), scaledOptions())
-		m.run(2 * time.Second)
+		m.noise = rapid.SampledFrom([]int{3, 30, 300}).Draw(t, "noise")
+		m.workTime = rapid.SampledFrom([]time.Duration{time.Second, 4 * time.Second, 20 * time.Second}).Draw(t, "work time")
+		for _, n := range m.nodes {
+			n.wants["firm"], n.wants["leased"] = 5, 5
+		}
+		m.run(5 * time.Second)
 		for _, o := range ops {
 			m.apply(o)
 		}
@@ -110,12 +154,13 @@
 	for _, n := range m.nodes {
 		n.wants["firm"], n.wants["leased"] = 0, 0
 	}
+	m.noise = 0
 	n := m.nodes[node]
 	n.wants["firm"], n.wants["leased"] = 50, 50
 	m.run(2 * m.options.Lease)
 	for team, want := range map[string]int{"firm": 14 - (len(m.nodes) - 1), "leased": 9} {
 		if got := n.holder.Allowed(team, n.vm.Now()); got != want {
-			m.fail("after recovery %s may run %d tasks of %s, want %d", n.vm.Name, got, team, want)
+			m.fail("after recovery %s may run %d tasks of %s, want %d: %v", n.vm.Name, got, team, want, m.Master.Grants[team])
 		}
 	}
 }
--- a/limits/model_test.go
+++ b/limits/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand"
 	"slices"
 	"time"
@@ -15,6 +16,7 @@
 type task struct {
 	id        int
 	team      string
+	holder    string // incarnation
 	server    *server
 	ends      time.Duration // true time at which its work is done
 	until     time.Duration
@@ -56,6 +58,7 @@
 	peak       map[string]int // highest limit still in force, by team
 	lastTask   int
 	workTime   time.Duration
+	noise      int // in this number of rounds the demand of a VM changes at random once; 0 for never
 	violations []string
 }
 
@@ -68,7 +71,7 @@
 	m := &model{Fleet: fakefleet.New(rng, config, centres, o.ClockRate), options: o, peak: map[string]int{}}
 	m.workTime = 4 * time.Second
 	for _, c := range slices.Compact(slices.Sorted(slices.Values(centres))) {
-		rate := 1 + (rng.Float64()-0.5)/float64(o.ClockRate)
+		rate := 1 + float64(rng.Intn(3)-1)/float64(2*o.ClockRate)
 		m.servers = append(m.servers, &server{centre: c, rate: rate, running: map[int]*task{}})
 	}
 	for _, vm := range m.VMs {
@@ -166,8 +169,8 @@
 
 // runTasks counts ended tasks out, starts what the demand wants and renews the leases of tasks once a second.
 func (m *model) runTasks(n *node, now time.Time) {
-	for team, tasks := range n.tasks {
-		n.tasks[team] = slices.DeleteFunc(tasks, func(t *task) bool {
+	for _, team := range slices.Sorted(maps.Keys(n.tasks)) {
+		n.tasks[team] = slices.DeleteFunc(n.tasks[team], func(t *task) bool {
 			over := !now.Before(t.holderEnd) || t.ended && m.reaches(n, t.server)
 			if over {
 				n.holder.End(team)
@@ -180,7 +183,11 @@
 			n.serverTime[s] = [2]time.Duration{s.now(m.Fleet), now.Sub(time.Unix(0, 0))}
 		}
 	}
-	for team, want := range n.wants {
+	for _, team := range slices.Sorted(maps.Keys(n.wants)) {
+		if m.noise > 0 && m.Rand.Intn(m.noise) == 0 {
+			n.wants[team] = m.Rand.Intn(16)
+		}
+		want := n.wants[team]
 		for len(n.tasks[team]) < want && m.startTask(n, team, now) {
 		}
 		n.holder.SetWaiting(team, max(0, want-len(n.tasks[team])))
@@ -201,7 +208,7 @@
 	}
 	m.lastTask++
 	work := time.Duration(m.Rand.Int63n(int64(2 * m.workTime)))
-	t := &task{id: m.lastTask, team: team, server: s, ends: m.Elapsed + work}
+	t := &task{id: m.lastTask, team: team, holder: n.vm.Incarnation, server: s, ends: m.Elapsed + work}
 	t.holderEnd = n.holder.TaskEnd(team, len(n.tasks[team]), now)
 	t.until = n.serverEnd(m, s, t.holderEnd)
 	n.tasks[team] = append(n.tasks[team], t)
@@ -224,8 +231,8 @@
 }
 
 func (m *model) renewTasks(n *node, now time.Time) {
-	for team, tasks := range n.tasks {
-		for rank, t := range tasks {
+	for _, team := range slices.Sorted(maps.Keys(n.tasks)) {
+		for rank, t := range n.tasks[team] {
 			end := n.holder.TaskEnd(team, rank, now)
 			if !end.After(t.holderEnd) || !m.reaches(n, t.server) {
 				continue
@@ -238,12 +245,18 @@
 }
 
 // check compares what really runs with the highest limit that is in force: a lowered limit counts from when the grants have
-// come down to it.
+// come down to it. No holder may run more than its grant either, which fails also when others leave room below the limit.
 func (m *model) check() {
-	running := map[string]int{}
+	running, held := map[string]int{}, map[[2]string]int{}
 	for _, s := range m.servers {
 		for _, t := range s.running {
 			running[t.team]++
+			held[[2]string{t.team, t.holder}]++
+		}
+	}
+	for h, n := range held {
+		if g := m.Master.GrantOf(h[0], h[1]).Total(); n > g {
+			m.fail("team %s: %s runs %d with a grant of %d", h[0], h[1], n, g)
 		}
 	}
 	for name, team := range m.Master.Config.Teams {
@@ -271,7 +284,7 @@
 
 // heal ends every failure and starts what has crashed.
 func (m *model) heal() {
-	m.Outage = false
+	m.Outage, m.Slow = false, false
 	clear(m.Cut)
 	for _, n := range m.nodes {
 		n.vm.Frozen, n.vm.Isolated, n.vm.NoPlatform = false, false, false
--- /dev/null
+++ b/limits/rules_test.go
@@ -0,0 +1,156 @@
+package limits_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/limits"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// pair is a fold with two members, a and b, and their holders.
+type pair struct {
+	t       *testing.T
+	state   *fleet.State
+	seq     uint64
+	holders map[string]*limits.Holder
+}
+
+func newPair(t *testing.T, team fleet.Team) *pair {
+	p := &pair{t: t, state: fleet.NewState(), holders: map[string]*limits.Holder{}}
+	p.state.Config.Teams["t"] = team
+	p.state.Config.Centres["c"] = fleet.DataCentre{}
+	for _, id := range []string{"a", "b"} {
+		p.state.Config.EntryVMs[id] = fleet.EntryVM{DataCentre: "c"}
+		p.holders[id] = limits.NewHolder(limits.DefaultOptions())
+	}
+	for _, id := range []string{"a", "b"} {
+		p.append(id, fleet.Command{Join: &fleet.Join{VM: id}}, fleet.Command{Renew: &fleet.Renew{}})
+		p.holders[id].Renewed(start)
+	}
+	return p
+}
+
+func (p *pair) append(writer string, commands ...fleet.Command) {
+	p.seq++
+	for _, r := range p.state.Apply(p.seq, fleet.Batch{Writer: writer, Seq: p.seq, Commands: commands}) {
+		require.NoError(p.t, r.Err())
+	}
+	for id, h := range p.holders {
+		h.Observe(p.state, id)
+	}
+}
+
+// round lets both holders plan and confirms their plans.
+func (p *pair) round(now time.Time) {
+	for _, id := range []string{"a", "b"} {
+		if commands := p.holders[id].Plan(now).Commands(); len(commands) > 0 {
+			p.append(id, commands...)
+			p.holders[id].Confirmed(p.state, id)
+		}
+	}
+}
+
+// fill lets a holder start as many tasks as it may, with ever more waiting.
+func (p *pair) fill(id string, now time.Time) {
+	for p.holders[id].Start("t", now) {
+	}
+	p.holders[id].SetWaiting("t", 100)
+}
+
+// TestGiveBackIsNotUsed guards against a task started on a grant whose give-back has been sent but not yet read.
+func TestGiveBackIsNotUsed(t *testing.T) {
+	p := newPair(t, fleet.Team{Limit: 10})
+	p.holders["a"].SetWaiting("t", 10)
+	p.round(start)
+	p.holders["a"].SetWaiting("t", 0)
+	p.holders["b"].SetWaiting("t", 1)
+	p.round(start)
+	later := start.Add(2 * limits.DefaultIdle)
+	for range 3 {
+		p.holders["a"].Plan(later)
+		later = later.Add(limits.DefaultIdle)
+	}
+	require.Equal(t, 10, p.state.GrantOf("t", "a").Total())
+	require.False(t, p.holders["a"].Start("t", later))
+}
+
+// TestCompetingHoldersSplitEvenly guards against a holder that keeps the whole limit while it is busy, and against an
+// ask that is forgotten when nothing is free.
+func TestCompetingHoldersSplitEvenly(t *testing.T) {
+	p := newPair(t, fleet.Team{Limit: 11})
+	p.fill("a", start)
+	p.round(start)
+	p.fill("a", start)
+	require.Equal(t, 11, p.holders["a"].Running("t"))
+	p.fill("b", start)
+	for i := range 12 {
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		p.round(now)
+		p.holders["a"].End("t")
+		p.fill("a", now)
+		p.fill("b", now)
+	}
+	require.Equal(t, 6, p.holders["a"].Running("t"))
+	require.Equal(t, 5, p.holders["b"].Running("t"))
+}
+
+// TestLoweredLimitIsReached guards against a busy holder, or one with firm parts, that stays above a lowered limit.
+func TestLoweredLimitIsReached(t *testing.T) {
+	p := newPair(t, fleet.Team{Limit: 10, FirmPerEntryVM: 4})
+	for range 2 {
+		p.fill("a", start)
+		p.fill("b", start)
+		p.round(start)
+	}
+	lowered := fleet.Change{Team: &fleet.Object[fleet.Team]{Name: "t", Value: &fleet.Team{Limit: 3}}}
+	p.append("", fleet.Command{Configure: &fleet.Configure{ID: "lower", Changes: []fleet.Change{lowered}}})
+	for p.state.Granted("t") > 3 {
+		before := p.state.Granted("t")
+		for id, h := range p.holders {
+			require.False(t, h.Start("t", start), id)
+			if h.Running("t") > 0 {
+				h.End("t")
+			}
+		}
+		p.round(start)
+		require.Less(t, p.state.Granted("t"), before)
+	}
+}
+
+// TestVouchingRevivesNothing guards against a lease that peers renew after it has ended: a member that sent an expiry and
+// then crashed is not asked, and its append may still arrive.
+func TestVouchingRevivesNothing(t *testing.T) {
+	h := limits.NewHolder(limits.DefaultOptions())
+	h.Renewed(start)
+	end := h.LeaseEnd()
+	h.Vouched(start.Add(time.Minute), end)
+	require.Equal(t, end, h.LeaseEnd())
+	h.Vouched(start.Add(time.Minute), end.Add(-1))
+	require.Equal(t, end.Add(time.Minute), h.LeaseEnd())
+}
+
+// TestPausedWatcherRestartsCounts guards against an expiry by a VM that was paused: it has contact again, but while it was
+// paused the others vouched for the holder.
+func TestPausedWatcherRestartsCounts(t *testing.T) {
+	o := limits.DefaultOptions()
+	w := limits.NewWatcher(o)
+	w.Contact(start, start)
+	w.Observe(map[string]fleet.Member{"h": {LeaseSeq: 1}}, "w", start)
+	resumed := start.Add(2 * o.Lease)
+	w.Contact(resumed, resumed)
+	require.Empty(t, w.Due(resumed))
+}
+
+// TestFirmTasksOutliveTheLease guards against more tasks beyond the lease's end than there are firm parts.
+func TestFirmTasksOutliveTheLease(t *testing.T) {
+	p := newPair(t, fleet.Team{Limit: 10, FirmPerEntryVM: 1})
+	h := p.holders["a"]
+	now := h.LeaseEnd().Add(-time.Second)
+	require.Equal(t, now.Add(limits.DefaultTaskLease), h.TaskEnd("t", 0, now))
+	require.Equal(t, h.LeaseEnd(), h.TaskEnd("t", 1, now))
+}
