--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -83,7 +83,7 @@
 	switch {
 	case len(e.candidatesLocked(c.queue.Pool, now)) == 0:
 		return errkind.New(errkind.NoBackendServer, "no backend server of pool %q took work until the deadline", c.queue.Pool)
-	case e.holder.Running(c.team) >= e.holder.Allowed(c.team, now):
+	case !e.holder.MayStart(c.team, now):
 		return errkind.New(errkind.LimitReached, "team %q ran as much as its grant allows until the deadline", c.team)
 	}
 	return errDeadline
@@ -169,7 +169,7 @@
 		}
 	}
 	view.Reserve = slots * config.Preset().ReservePercent / 100
-	view.MayStart = func(team string) bool { return e.holder.Running(team) < e.holder.Allowed(team, now) }
+	view.MayStart = func(team string) bool { return e.holder.MayStart(team, now) }
 	return view
 }
 
@@ -184,8 +184,7 @@
 		call: c, pool: c.queue.Pool, team: c.team, server: name, address: s.address,
 		fence: e.member.Fence, number: e.nextTask, repeatable: c.kind == repeatable,
 	}
-	firm := e.holder.Running(c.team) <= e.grants[c.team].Firm
-	t.leaseEnd = e.taskLeaseEndLocked(firm, now)
+	t.leaseEnd = e.holder.TaskEnd(c.team, e.holder.Running(c.team)-1, now)
 	e.tasks[t.id] = t
 	e.local[name]++
 	if e.running[t.pool] == nil {
@@ -203,15 +202,6 @@
 	}}
 }
 
-// taskLeaseEndLocked returns the end of a task's lease. Only a task within the firm grant may outlive the holder's lease.
-func (e *Engine) taskLeaseEndLocked(firm bool, now time.Time) time.Time {
-	end := now.Add(e.options.Limits.TaskLease)
-	if lease := e.holder.LeaseEnd(); !firm && lease.Before(end) {
-		return lease
-	}
-	return end
-}
-
 // endLocked counts a task out and starts what waited for its slot.
 func (e *Engine) endLocked(t *task) {
 	if _, ok := e.tasks[t.id]; !ok {
--- a/entry/engine.go
+++ b/entry/engine.go
@@ -18,6 +18,7 @@
 	"example.org/comfreyrouter/errkind"
 	"example.org/comfreyrouter/fairshare"
 	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/keys"
 	"example.org/comfreyrouter/limits"
 	"example.org/comfreyrouter/logclient"
 	"example.org/comfreyrouter/peer"
@@ -150,14 +151,11 @@
 
 	servers map[string]*server
 	byPool  map[string][]string // sorted names of the servers of each pool
-	grants  map[string]fleet.Grant
-	giving  map[string]int // give-backs in flight: the most that a team may use
-	room    map[string]bool
-	askedAt time.Time
 
 	remoteLoad    map[string]int // peers' tasks by server
 	remoteRunning map[string]map[string]int
 	withdrawn     map[string]bool
+	heard         map[string]keys.PeerView // what others said in their heartbeats, by incarnation
 }
 
 // New returns an engine. Run drives it.
@@ -176,8 +174,8 @@
 		flights:  map[string]*flight{}, pending: map[string]*pendingClaim{}, queues: map[string]*fairshare.Queue{}, calls: map[uint64]*call{},
 		waiting: map[string]int{}, tasks: map[string]*task{}, running: map[string]map[string]int{},
 		local: map[string]int{}, servers: map[string]*server{}, byPool: map[string][]string{},
-		grants: map[string]fleet.Grant{}, giving: map[string]int{}, room: map[string]bool{},
 		remoteLoad: map[string]int{}, remoteRunning: map[string]map[string]int{}, withdrawn: map[string]bool{},
+		heard: map[string]keys.PeerView{},
 	}
 }
 
@@ -316,11 +314,11 @@
 		}
 	}
 	e.mu.Lock()
-	issued := e.issuer.Outcomes()
+	issued, floor := e.issuer.Outcomes()
 	e.left = true
 	e.joined = false
 	e.mu.Unlock()
-	results, err := e.options.Submitter.Submit(ctx, fleet.Command{Leave: &fleet.Leave{Issued: issued}})
+	results, err := e.options.Submitter.Submit(ctx, fleet.Command{Leave: &fleet.Leave{Issued: issued, IssuedFloor: floor}})
 	if err != nil {
 		return err
 	}
--- a/entry/engine_test.go
+++ b/entry/engine_test.go
@@ -208,22 +208,21 @@
 		}
 		a.backend.setRun(takes(2 * time.Second))
 		hold(a, "first")
-		time.Sleep(time.Second)
-		hold(b, "second")
-		time.Sleep(time.Second)
-		a.setBlind(true)
+		time.Sleep(7 * time.Second) // a has no need any more, but nobody asks
 		a.backend.setRun(takes(20 * time.Second))
+		hold(b, "second")
 		most := func() int {
 			a.mu.Lock()
 			defer a.mu.Unlock()
-			if len(a.giving) == 0 {
+			if !a.holder.Giving("varmland") {
 				return -1
 			}
 			return a.holder.Allowed("varmland", time.Now())
 		}
 		for most() < 0 {
-			time.Sleep(time.Millisecond)
+			time.Sleep(time.Microsecond)
 		}
+		a.setBlind(true)
 		require.Zero(t, most())
 		time.Sleep(5 * time.Second)
 		require.Equal(t, 3, a.backend.count("second"))
--- a/entry/grants.go
+++ b/entry/grants.go
@@ -13,34 +13,15 @@
 
 // foldView is what the engine takes from the fold after a change.
 type foldView struct {
-	member    fleet.Member
-	isMember  bool
-	vms       map[string]fleet.VM
-	grants    map[string]fleet.Grant
-	contested map[string]bool
-	room      map[string]bool // teams of which some of the limit is not granted
+	member   fleet.Member
+	isMember bool
+	vms      map[string]fleet.VM
 }
 
-func (e *Engine) readFold(s *fleet.State) foldView {
-	self := e.options.Incarnation
-	v := foldView{
-		vms: maps.Clone(s.VMs), grants: map[string]fleet.Grant{},
-		contested: map[string]bool{}, room: map[string]bool{},
-	}
-	v.member, v.isMember = s.Members[self]
-	for name, team := range s.Config.Teams {
-		v.room[name] = s.Granted(name) < team.Limit
-	}
-	for team, holders := range s.Grants {
-		for incarnation, g := range holders {
-			switch {
-			case incarnation == self:
-				v.grants[team] = g
-			case g.Want > g.Total():
-				v.contested[team] = true
-			}
-		}
-	}
+func (e *Engine) readFoldLocked(s *fleet.State) foldView {
+	v := foldView{vms: maps.Clone(s.VMs)}
+	v.member, v.isMember = s.Members[e.options.Incarnation]
+	e.holder.Observe(s, e.options.Incarnation)
 	return v
 }
 
@@ -55,7 +36,7 @@
 
 func (e *Engine) refreshLocked() error {
 	var v foldView
-	e.options.Store.View(func(s *fleet.State) { v = e.readFold(s) })
+	e.options.Store.View(func(s *fleet.State) { v = e.readFoldLocked(s) })
 	if e.left {
 		return nil
 	}
@@ -64,39 +45,10 @@
 		return errkind.New(errkind.Fenced, "incarnation %s was fenced", e.options.Incarnation)
 	}
 	e.member, e.joined = v.member, v.isMember
-	e.room = v.room
 	e.setServersLocked(v.vms)
-	e.setGrantsLocked(v)
 	return nil
 }
 
-// setGrantsLocked hands the grants to the holder, lowered by give-backs in flight: once a give-back was sent it may take effect at
-// any time, and the part given back may then be running elsewhere.
-func (e *Engine) setGrantsLocked(v foldView) {
-	for team := range e.grants {
-		if _, ok := v.grants[team]; !ok {
-			e.holder.SetGrant(team, fleet.Grant{}, v.contested[team])
-		}
-	}
-	e.grants = v.grants
-	for team, g := range v.grants {
-		if most, ok := e.giving[team]; ok {
-			g = lowered(g, most)
-			e.grants[team] = g
-		}
-		e.holder.SetGrant(team, g, v.contested[team])
-	}
-}
-
-func lowered(g fleet.Grant, most int) fleet.Grant {
-	g.Firm = min(g.Firm, most)
-	g.Leased = min(g.Leased, most-g.Firm)
-	return g
-}
-
-// reaskPeriod is how often a want that is not met is stated again while some of the limit is free.
-const reaskPeriod = 500 * time.Millisecond
-
 // settleGrants asks for grants and gives back what is unused. It returns once the log has confirmed it, so at most one
 // such batch is in flight.
 func (e *Engine) settleGrants(ctx context.Context) {
@@ -104,70 +56,31 @@
 	if len(commands) == 0 {
 		return
 	}
-	sentAt := time.Now()
-	results, err := e.options.Submitter.Submit(ctx, commands...)
-	if err != nil {
-		// Give-backs may still take effect. They are lifted after the next batch, which the fold orders behind them.
+	if _, err := e.options.Submitter.Submit(ctx, commands...); err != nil {
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.giving = map[string]int{}
+	e.options.Store.View(func(s *fleet.State) { e.holder.Confirmed(s, e.options.Incarnation) })
 	_ = e.refreshLocked() // foldLoop reports the error
-	for i, c := range commands {
-		if c.Ask != nil && results[i].OK() {
-			e.holder.Renewed(sentAt)
-		}
-	}
 	e.dispatchAllLocked()
 }
 
-// planGrants returns the commands to submit, lowers the grants that are given back, and stops the tasks above the grants.
+// planGrants returns the commands to submit and stops the tasks above the grants. The commands of a plan whose append failed may
+// still take effect; a renewal, which the fold orders behind them, shows what became of them.
 func (e *Engine) planGrants(now time.Time) []fleet.Command {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.joined {
 		return nil
 	}
+	unconfirmed := e.holder.Pending()
 	plan := e.holder.Plan(now)
 	e.stopExcessLocked(plan.Stop)
-	config := e.options.Store.Config()
-	// A team that is not configured any more is granted nothing, and would be asked for without end.
-	plan.Ask = slices.DeleteFunc(plan.Ask, func(t fleet.TeamCount) bool {
-		_, ok := config.Teams[t.Team]
-		return !ok
-	})
-	asks := e.reaskLocked(plan.Ask, now)
-	var commands []fleet.Command
-	if len(plan.GiveBack) > 0 {
-		commands = append(commands, fleet.Command{GiveBack: &fleet.GiveBack{Keep: plan.GiveBack}})
-	}
-	if len(asks) > 0 {
-		commands = append(commands, fleet.Command{Ask: &fleet.AskGrants{Wants: asks}})
-	}
-	for _, keep := range plan.GiveBack {
-		e.giving[keep.Team] = keep.Count
-		e.grants[keep.Team] = lowered(e.grants[keep.Team], keep.Count)
-		e.holder.SetGrant(keep.Team, e.grants[keep.Team], false)
-	}
-	return commands
-}
-
-// reaskLocked adds the wants that were stated before and not met, if some of the team's limit has become free. The fold grants
-// only when it is asked.
-func (e *Engine) reaskLocked(asks []fleet.TeamCount, now time.Time) []fleet.TeamCount {
-	if now.Sub(e.askedAt) < reaskPeriod {
-		return asks
-	}
-	for _, team := range slices.Sorted(maps.Keys(e.waiting)) {
-		want := e.holder.Running(team) + e.waiting[team]
-		asked := slices.ContainsFunc(asks, func(t fleet.TeamCount) bool { return t.Team == team })
-		if e.waiting[team] > 0 && e.room[team] && !asked && want > e.grants[team].Total() {
-			asks = append(asks, fleet.TeamCount{Team: team, Count: want})
-			e.askedAt = now
-		}
+	if unconfirmed {
+		return []fleet.Command{{Renew: &fleet.Renew{}}}
 	}
-	return asks
+	return plan.Commands()
 }
 
 // stopExcessLocked stops tasks that run above the grants, repeatable ones first and the newest first.
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -69,8 +69,8 @@
 		}
 	}
 	if issued, ok := claims.ParseIssued(id); ok {
-		if outcomes, ok := e.leftIssuer(issued.Incarnation); ok {
-			return e.recordedByLeaver(outcomes, id)
+		if outcome, ok := e.leftIssuer(issued); ok {
+			return e.recorded(outcome)
 		}
 	}
 	if found, ok := e.askPeers(ctx, scopes, id); ok {
@@ -79,14 +79,6 @@
 	return best
 }
 
-func (e *Engine) recordedByLeaver(outcomes map[string]errkind.Outcome, id string) Response {
-	outcome, begun := outcomes[id]
-	if !begun {
-		outcome = errkind.NotRun
-	}
-	return e.recorded(outcome)
-}
-
 // askPeers asks all peers at once and returns the first that knows the id.
 func (e *Engine) askPeers(ctx context.Context, scopes []string, id string) (Response, bool) {
 	statuses := e.options.Peers.Statuses()
--- a/entry/once.go
+++ b/entry/once.go
@@ -146,11 +146,7 @@
 // handleElsewhere sends a call to the VM that issued its id. A refused call is sent without time left, so that the issuer closes
 // the id and "not run" is true.
 func (e *Engine) handleElsewhere(ctx context.Context, c *call, refusal error) Response {
-	if outcomes, ok := e.leftIssuer(c.issued.Incarnation); ok {
-		outcome, begun := outcomes[c.req.ID]
-		if !begun {
-			outcome = errkind.NotRun
-		}
+	if outcome, ok := e.leftIssuer(c.issued); ok {
 		return withheld(e.recorded(outcome), refusal)
 	}
 	address, ok := e.peerAddress(c.issued.Incarnation)
@@ -179,13 +175,12 @@
 	return withheld(fromReply(reply), refusal)
 }
 
-// leftIssuer returns the outcomes that an issuer recorded when it left.
-func (e *Engine) leftIssuer(incarnation string) (map[string]errkind.Outcome, bool) {
-	var outcomes map[string]errkind.Outcome
-	var ok bool
-	// The fold never changes the map of an issuer that left, so it may be read outside the view.
-	e.options.Store.View(func(s *fleet.State) { outcomes, ok = s.Issuers.ByID[incarnation] })
-	return outcomes, ok
+// leftIssuer returns what an issuer that left recorded of an id.
+func (e *Engine) leftIssuer(id claims.IssuedID) (outcome errkind.Outcome, ok bool) {
+	e.options.Store.View(func(s *fleet.State) {
+		outcome, ok = s.Issuers.Outcome(id.Incarnation, id.Number, id.String())
+	})
+	return outcome, ok
 }
 
 // peerAddress finds the address of another incarnation.
--- a/entry/preempt.go
+++ b/entry/preempt.go
@@ -16,7 +16,7 @@
 func (e *Engine) preemptLocked(now time.Time) {
 	needed := map[string]int{}
 	for _, c := range e.calls {
-		limited := e.holder.Running(c.team) >= e.holder.Allowed(c.team, now)
+		limited := !e.holder.MayStart(c.team, now)
 		if c.queue.Class == fleet.Urgent && now.Sub(c.began) > preemptAfter && !limited {
 			needed[c.queue.Pool]++
 		}
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -33,6 +32,7 @@
 	connections int // this VM's part of the connections to the server
 	epoch       uint64
 	serving     bool // by the fold
+	leaving     bool // being drained or moved, by the fold
 	draining    bool // by the server itself
 	clock       clockSample
 	polledAt    time.Time
@@ -71,6 +71,7 @@
 		}
 		s.pool, s.centre, s.epoch = vm.Pool, declared.DataCentre, vm.Epoch
 		s.serving = vm.Available()
+		s.leaving = vm.Phase == fleet.Draining || vm.Phase == fleet.Moving
 		s.slots = declared.Slots
 		s.connections = s.slots
 		if declared.Connections > 0 {
@@ -146,7 +147,7 @@
 		if t.server != name || t.lost {
 			continue
 		}
-		end := e.taskLeaseEndLocked(e.firmLocked(t), now)
+		end := e.holder.TaskEnd(t.team, e.rankLocked(t), now)
 		if end.After(t.leaseEnd) {
 			t.leaseEnd = end
 		}
@@ -155,15 +156,15 @@
 	return until
 }
 
-// firmLocked reports whether a task is within the firm part of its team's grant: the oldest tasks are.
-func (e *Engine) firmLocked(t *task) bool {
-	firm := e.grants[t.team].Firm
-	if firm == 0 {
-		return false
+// rankLocked returns a task's place among the tasks of its team, from 0 for the oldest.
+func (e *Engine) rankLocked(t *task) int {
+	rank := 0
+	for _, other := range e.tasks {
+		if other.team == t.team && other.number < t.number {
+			rank++
+		}
 	}
-	tasks := e.tasksOfLocked(t.team)
-	slices.SortFunc(tasks, func(a, b *task) int { return cmp.Compare(a.number, b.number) })
-	return slices.Index(tasks, t) < firm
+	return rank
 }
 
 func (e *Engine) pollServer(ctx context.Context, name string, s *server, until map[string]int64) {
--- a/entry/view.go
+++ b/entry/view.go
@@ -99,7 +99,11 @@
 func (e *Engine) AnsweredHeartbeat(from peer.Status) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.watcher.Vouch(from.Incarnation, time.Now())
+	now := time.Now()
+	e.watcher.Vouch(from.Incarnation, now)
+	bound := freshnessBound(e.options.Store.Config())
+	maps.DeleteFunc(e.heard, func(_ string, p keys.PeerView) bool { return now.Sub(p.AskedAt) > bound })
+	e.heard[from.Incarnation] = keys.PeerView{AskedAt: now, Offset: from.Offset, ReadAge: from.ReadAge}
 }
 
 // tick takes what the peers said and follows the leases.
@@ -108,18 +112,19 @@
 	statuses := e.options.Peers.Statuses()
 	config := e.options.Store.Config()
 	bound := freshnessBound(config)
-	since, outage := e.keyView().OutageForAllSince(now, bound)
+	view := e.keyView()
+	since, outage := view.OutageForAllSince(now, bound)
 	var members map[string]fleet.Member
 	e.options.Store.View(func(s *fleet.State) { members = maps.Clone(s.Members) })
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	_ = e.refreshLocked() // foldLoop reports the error
 	if outage && e.joined {
-		e.holder.Renewed(since)
+		e.holder.Vouched(since, now)
 	}
 	e.watcher.Observe(members, e.options.Incarnation, now)
-	if !e.majorityLocked(config, statuses, now, bound) {
-		e.watcher.RestartAll(now)
+	if askedAt, ok := view.MajorityAskedAt(now); ok {
+		e.watcher.Contact(askedAt, now)
 	}
 	e.takeLoadLocked(statuses, now)
 	e.takeWithdrawnLocked(statuses, config)
@@ -127,24 +132,6 @@
 	e.preemptLocked(now)
 }
 
-// majorityLocked reports whether this VM is in contact with a majority of the data centres that have entry VMs.
-func (e *Engine) majorityLocked(config *fleet.Config, statuses []PeerStatus, now time.Time, bound time.Duration) bool {
-	reached := map[string]bool{e.options.DataCentre: true}
-	for _, p := range statuses {
-		if now.Sub(p.AskedAt) <= bound {
-			reached[p.DataCentre] = true
-		}
-	}
-	centres := entryCentres(config)
-	n := 0
-	for _, c := range centres {
-		if reached[c] {
-			n++
-		}
-	}
-	return 2*n > len(centres)
-}
-
 func (e *Engine) takeLoadLocked(statuses []PeerStatus, now time.Time) {
 	e.remoteLoad = map[string]int{}
 	e.remoteRunning = map[string]map[string]int{}
@@ -189,14 +176,11 @@
 		Offset: o.Store.Offset(), LogReadable: o.LogView.Readable(), ReadAge: now.Sub(o.LogView.ReadAt()),
 		Running: map[string]map[string]int{}, Waiting: map[string]map[string]int{},
 	}
-	bound := freshnessBound(o.Store.Config())
-	for _, p := range o.Peers.Statuses() {
-		// Only the peer's own reads count: otherwise two VMs that cannot read would go on confirming each other.
-		own := p.LogReadable && now.Sub(p.AskedAt)+p.ReadAge <= bound
-		st.LogReadable = st.LogReadable || own
-	}
+	view := e.keyView()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	view.Heard = slices.Collect(maps.Values(e.heard))
+	st.HeardReadable = view.Readable(now, freshnessBound(o.Store.Config()))
 	for pool, teams := range e.running {
 		st.Running[pool] = maps.Clone(teams)
 	}
--- a/keys/freshness.go
+++ b/keys/freshness.go
@@ -103,20 +103,21 @@
 }
 
 // MajorityAskedAt returns the latest time since which a majority of the data centres has been asked and has answered. A data
-// centre has answered when all of its live members have. It returns false if a majority never has.
+// centre has answered when one of its live members has: partitions occur between data centres, so this one has heard what the
+// others there say. It returns false if a majority never has.
 func (v View) MajorityAskedAt(now time.Time) (time.Time, bool) {
-	oldest := map[string]time.Time{v.Centre: now}
+	newest := map[string]time.Time{v.Centre: now}
 	for _, p := range v.Peers {
 		if p.Gone {
 			continue
 		}
-		if at, ok := oldest[p.DataCentre]; !ok || p.AskedAt.Before(at) {
-			oldest[p.DataCentre] = p.AskedAt
+		if p.AskedAt.After(newest[p.DataCentre]) {
+			newest[p.DataCentre] = p.AskedAt
 		}
 	}
 	var asked []time.Time
 	for _, c := range v.Centres {
-		if at, ok := oldest[c]; ok && !at.IsZero() {
+		if at, ok := newest[c]; ok {
 			asked = append(asked, at)
 		}
 	}
--- a/limits/holder.go
+++ b/limits/holder.go
@@ -107,8 +107,14 @@
 	}
 }
 
-// Confirmed takes a state in which the commands of the last plan have been applied, or in which the writer is fenced.
-// Until then Plan gives no further commands and what was to be given back is not used.
+// Pending reports whether the commands of a plan have not been confirmed.
+func (h *Holder) Pending() bool { return h.pending }
+
+// Giving reports whether a give-back of the team is on its way to the log.
+func (h *Holder) Giving(team string) bool { return h.team(team).giving }
+
+// Confirmed takes a state in which the commands of the last plan have been applied or cannot be any more. If their append
+// failed, any later batch of the same writer that has been applied shows this. Until then Plan gives no further commands and what was to be given back is not used.
 func (h *Holder) Confirmed(s *fleet.State, self string) {
 	h.Observe(s, self)
 	if !h.pending {
@@ -128,12 +134,19 @@
 	return h.team(team).held(now.Before(h.leaseEnd))
 }
 
+// MayStart reports whether the team may run one more task. Above a lowered limit, and above the fair share while another
+// holder lacks its own, it may not, although what runs may go on.
+func (h *Holder) MayStart(team string, now time.Time) bool {
+	t := h.team(team)
+	return t.running < t.startable(now.Before(h.leaseEnd))
+}
+
 // Start counts a task and reports true if the team may run one more.
 func (h *Holder) Start(team string, now time.Time) bool {
-	t := h.team(team)
-	if t.running >= t.startable(now.Before(h.leaseEnd)) {
+	if !h.MayStart(team, now) {
 		return false
 	}
+	t := h.team(team)
 	t.running++
 	t.peaks[0] = max(t.peaks[0], t.running)
 	return true
