Test keys against withdrawals under cuts and outages, and measure refused work

A model of several VMs, a log and operators who withdraw keys checks that no VM accepts a key later than the freshness bound plus a heartbeat after the withdrawal.

--- /dev/null
+++ b/keys/model_test.go
@@ -0,0 +1,236 @@
+package keys_test
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"example.org/comfreyrouter/errkind"
+	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/internal/fakefleet"
+	"example.org/comfreyrouter/internal/testenv"
+	"example.org/comfreyrouter/keys"
+)
+
+func TestMain(m *testing.M) { testenv.Main(m) }
+
+const clockRate = 1000
+
+// model is a fleet with keys k0, k1 and so on, and the oracle of their withdrawals.
+type model struct {
+	*fakefleet.Fleet
+	pending    map[*fakefleet.VM][]string // withdrawals at a VM's interface that are not yet in a batch
+	direct     map[string]bool            // withdrawals that operators published on the log by themselves
+	acceptedAt map[string]time.Duration
+	violation  string
+}
+
+func newModel(seed int64, centres []string, keyCount int) *model {
+	config := fleet.NewConfig()
+	config.Teams["t"] = fleet.Team{}
+	for i := range keyCount {
+		id := fmt.Sprintf("k%d", i)
+		config.Keys[id] = fleet.Key{Team: "t", Hash: keys.Hash(id)}
+	}
+	return &model{
+		Fleet:      fakefleet.New(rand.New(rand.NewSource(seed)), config, centres, clockRate),
+		pending:    map[*fakefleet.VM][]string{},
+		direct:     map[string]bool{},
+		acceptedAt: map[string]time.Duration{},
+	}
+}
+
+func (m *model) step() {
+	m.Step()
+	for _, vm := range m.VMs {
+		if ids := m.pending[vm]; len(ids) > 0 && vm.Runs() && vm.Submit([]fleet.Command{withdrawal(ids[0])}, nil) {
+			m.pending[vm] = ids[1:]
+		}
+	}
+	m.noteAccepted()
+	for _, vm := range m.VMs {
+		if vm.Runs() {
+			m.check(vm)
+		}
+	}
+}
+
+func withdrawal(id string) fleet.Command {
+	return fleet.Command{Configure: &fleet.Configure{ID: "withdraw-" + id, Changes: []fleet.Change{{Withdraw: &id}}}}
+}
+
+// noteAccepted notes from when a withdrawal counts: from its place in the log if it was made at a VM, and from when the first VM
+// has read it if operators published it past the VMs, because an outage for all cannot be told from a log that only
+// operators reach.
+func (m *model) noteAccepted() {
+	for id := range m.Master.Config.Keys {
+		if _, ok := m.acceptedAt[id]; ok || !m.Master.Config.Keys[id].Withdrawn {
+			continue
+		}
+		read := !m.direct[id]
+		for _, vm := range m.VMs {
+			read = read || vm.State.Config.Keys[id].Withdrawn
+		}
+		if read {
+			m.acceptedAt[id] = m.Elapsed
+		}
+	}
+}
+
+// accepts reports whether a VM accepts a key now under the policy "refuse".
+func accepts(vm *fakefleet.VM, id string) bool {
+	withdrawn := func(id string) bool { return vm.Withdrawn[id] }
+	_, err := keys.Authenticate(vm.State.Config, withdrawn, id)
+	return err == nil && vm.View().Fresh(vm.Now(), fakefleet.Bound)
+}
+
+func (m *model) check(vm *fakefleet.VM) {
+	const most = fakefleet.Bound + fakefleet.Bound/clockRate + fakefleet.Heartbeat
+	for id, at := range m.acceptedAt {
+		if m.violation == "" && m.Elapsed > at+most && accepts(vm, id) {
+			m.violation = fmt.Sprintf("%v: %s accepts %s, withdrawn at %v", m.Elapsed, vm.Name, id, at)
+		}
+	}
+}
+
+// TestWithdrawnKeyStops guards against a withdrawn key that still works after the freshness bound and a heartbeat, whatever
+// is cut and wherever it was withdrawn.
+func TestWithdrawnKeyStops(t *testing.T) {
+	centres := []string{"a", "a", "b", "b", "c"}
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(rapid.Int64().Draw(t, "seed"), centres, 10)
+		next := 0
+		for range rapid.IntRange(3, 25).Draw(t, "operations") {
+			vm := m.VMs[rapid.IntRange(0, len(centres)-1).Draw(t, "vm")]
+			switch rapid.SampledFrom([]string{"withdraw", "direct", "cut", "platform", "isolate", "outage", "freeze"}).Draw(t, "kind") {
+			case "withdraw":
+				if id := fmt.Sprintf("k%d", next); next < 10 && vm.Runs() {
+					vm.Withdrawn[id] = true
+					m.pending[vm] = append(m.pending[vm], id)
+					next++
+				}
+			case "direct":
+				if id := fmt.Sprintf("k%d", next); next < 10 && !m.Outage {
+					m.direct[id] = true
+					m.Configure(withdrawal(id).Configure.Changes...)
+					next++
+				}
+			case "cut":
+				pair := [2]string{"a", rapid.SampledFrom([]string{"b", "c"}).Draw(t, "centre")}
+				m.Cut[pair] = !m.Cut[pair]
+			case "platform":
+				vm.NoPlatform = !vm.NoPlatform
+			case "isolate":
+				vm.Isolated = !vm.Isolated
+			case "outage":
+				m.Outage = !m.Outage
+			case "freeze":
+				vm.Frozen = !vm.Frozen
+			}
+			for range rapid.SampledFrom([]int{0, 2, 20, 130}).Draw(t, "steps") {
+				m.step()
+			}
+		}
+		if m.violation != "" {
+			t.Fatal(m.violation)
+		}
+	})
+}
+
+// TestAuthenticate guards against a key that is taken for another one, and against one that works after its withdrawal.
+func TestAuthenticate(t *testing.T) {
+	config := fleet.NewConfig()
+	config.Keys["open"] = fleet.Key{Team: "t", Hash: keys.Hash("good")}
+	config.Keys["shut"] = fleet.Key{Team: "u", Hash: keys.Hash("old"), Withdrawn: true}
+	local := map[string]bool{}
+	withdrawn := func(id string) bool { return local[id] }
+	cases := []struct {
+		key  string
+		who  keys.Identity
+		kind errkind.Kind
+	}{
+		{key: "good", who: keys.Identity{Team: "t", KeyID: "open"}},
+		{key: "old", who: keys.Identity{Team: "u", KeyID: "shut"}, kind: errkind.KeyWithdrawn},
+		{key: "bad", kind: errkind.KeyUnknown},
+		{key: keys.Hash("good"), kind: errkind.KeyUnknown},
+		{key: "", kind: errkind.KeyMissing},
+	}
+	for _, c := range cases {
+		who, err := keys.Authenticate(config, withdrawn, c.key)
+		require.Equal(t, c.who, who, c.key)
+		if c.kind == "" {
+			require.NoError(t, err)
+		} else {
+			require.Equal(t, c.kind, errkind.Of(err), c.key)
+		}
+	}
+	local["open"] = true
+	who, err := keys.Authenticate(config, withdrawn, "good")
+	require.Equal(t, errkind.KeyWithdrawn, errkind.Of(err))
+	require.Equal(t, "t", who.Team)
+}
+
+// BenchmarkRefusedKeys measures the share of keyed work that is refused over ten minutes of a failure, with equal work at each
+// VM. "cut_off" is the part of the fleet that is cut off, "rest" the other VMs. Under the policy "serve" nothing is refused and the
+// same share is served on a view that is not fresh.
+func BenchmarkRefusedKeys(b *testing.B) {
+	three, regions := []string{"a", "a", "b", "b", "c", "c"}, []string{"a", "a", "b", "b", "c", "c", "d", "d", "e"}
+	cases := []struct {
+		name    string
+		centres []string
+		lost    map[string]bool // data centres that are cut off from the rest and from the platform
+		outage  bool
+	}{
+		{"outage for all", three, nil, true},
+		{"cut of one data centre", three, map[string]bool{"c": true}, false},
+		{"cut of a region", regions, map[string]bool{"d": true, "e": true}, false},
+	}
+	for _, c := range cases {
+		for _, policy := range []fleet.StalePolicy{fleet.RefuseWhenStale, fleet.ServeWhenStale} {
+			b.Run(c.name+"/"+string(policy), func(b *testing.B) {
+				for range b.N {
+					measureRefused(b, c.centres, c.lost, c.outage, policy)
+				}
+			})
+		}
+	}
+}
+
+func measureRefused(b *testing.B, centres []string, lost map[string]bool, outage bool, policy fleet.StalePolicy) {
+	m := newModel(1, centres, 1)
+	for range 100 {
+		m.step()
+	}
+	m.Outage = outage
+	for _, vm := range m.VMs {
+		vm.NoPlatform = lost[vm.Centre]
+		for _, other := range centres {
+			m.Cut[[2]string{vm.Centre, other}] = lost[vm.Centre] != lost[other]
+		}
+	}
+	var asked, stale [2]int // of the rest, and of what is cut off
+	for end := m.Elapsed + 10*time.Minute; m.Elapsed < end; {
+		m.step()
+		for _, vm := range m.VMs {
+			part := 0
+			if lost[vm.Centre] {
+				part = 1
+			}
+			asked[part]++
+			if !accepts(vm, "k0") {
+				stale[part]++
+			}
+		}
+	}
+	refused := func(part int) float64 { return 100 * float64(stale[part]) / float64(max(1, asked[part])) }
+	metric := map[fleet.StalePolicy]string{fleet.RefuseWhenStale: "refused_%", fleet.ServeWhenStale: "served_stale_%"}[policy]
+	b.ReportMetric(refused(0), "rest_"+metric)
+	if len(lost) > 0 {
+		b.ReportMetric(refused(1), "cut_off_"+metric)
+		b.ReportMetric(100*float64(stale[0]+stale[1])/float64(asked[0]+asked[1]), "all_"+metric)
+	}
+}
