Let firm parts follow the configuration, and draw nothing from map order

Cause: firm parts were granted at join and renewal only, so a change of the declared part, or of the entry VMs, had no effect on members. Results no longer depend on the order of maps.

--- a/claims/model_test.go
+++ b/claims/model_test.go
@@ -17,7 +17,7 @@
 // The trial: a holder takes an order and is paused at a random point until its lease has expired. The caller asks another VM
 // with the same id, and then the holder resumes or has crashed. An order is placed by the first of its two side effects.
 const (
-	trials       = 10_000
+	trials   = 10_000
 	trialRun = 600 * time.Millisecond // from the claim to the recorded outcome
 	checkGap = 5 * time.Millisecond   // between the check of the token and its side effect
 )
--- a/fleet/apply_grants.go
+++ b/fleet/apply_grants.go
@@ -116,7 +116,9 @@
 
 // DemandBeside returns the demand of a team's live members other than self.
 func (s *State) DemandBeside(team, self string) Demand {
-	limit, unjoined := s.Config.Teams[team].Limit, s.unjoinedFirm(team)
+	// What self lacks of its own firm part becomes firm at its next renewal and is not taken from it.
+	limit, own := s.Config.Teams[team].Limit, s.Config.Teams[team].FirmPerEntryVM-s.GrantOf(team, self).Firm
+	unjoined := max(0, s.unjoinedFirm(team)-max(0, own))
 	d := Demand{room: limit - unjoined, Contested: s.Granted(team)+unjoined > limit}
 	for _, id := range sortedKeys(s.Grants[team]) {
 		g := s.GrantOf(team, id)
--- a/internal/fakefleet/fakefleet.go
+++ b/internal/fakefleet/fakefleet.go
@@ -63,6 +63,7 @@
 	Frozen      bool
 	Isolated    bool // cut from all peers
 	NoPlatform  bool // cut from the log
+	NoFetch     bool // gets no records from peers, although they answer
 	// Listed is set once the platform's list calls the VM gone.
 	Listed bool
 	// Withdrawn has the key ids withdrawn at this VM or heard of by heartbeat.
@@ -295,7 +296,9 @@
 			}
 			maps.Copy(vm.Withdrawn, replyWithdrawn)
 			vm.asked[receiver] = reply
-			vm.catchUp(max(vm.State.Offset, reply.Offset))
+			if !vm.NoFetch {
+				vm.catchUp(reply.Offset)
+			}
 			return true
 		})
 	}
--- a/keys/model_test.go
+++ b/keys/model_test.go
@@ -106,7 +106,7 @@
 		next := 0
 		for range rapid.IntRange(3, 25).Draw(t, "operations") {
 			vm := m.VMs[rapid.IntRange(0, len(centres)-1).Draw(t, "vm")]
-			switch rapid.SampledFrom([]string{"withdraw", "direct", "cut", "platform", "isolate", "outage", "freeze"}).Draw(t, "kind") {
+			switch rapid.SampledFrom([]string{"withdraw", "direct", "cut", "platform", "isolate", "fetch", "outage", "freeze"}).Draw(t, "kind") {
 			case "withdraw":
 				if id := fmt.Sprintf("k%d", next); next < 10 && vm.Runs() {
 					vm.Withdrawn[id] = true
@@ -126,6 +126,8 @@
 				vm.NoPlatform = !vm.NoPlatform
 			case "isolate":
 				vm.Isolated = !vm.Isolated
+			case "fetch":
+				vm.NoFetch = !vm.NoFetch
 			case "outage":
 				m.Outage = !m.Outage
 			case "freeze":
--- a/limits/bench_test.go
+++ b/limits/bench_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -57,7 +59,7 @@
 	for m.Elapsed < start+benchRun {
 		if m.Elapsed >= nextMove {
 			nextMove += benchMove
-			for name := range declared {
+			for _, name := range slices.Sorted(maps.Keys(declared)) {
 				at[name], servedAt[name] = (at[name]+1+rng.Intn(2))%3, 0
 				moves++
 				m.demandAt(name, at[name])
--- a/limits/model_test.go
+++ b/limits/model_test.go
@@ -135,8 +135,8 @@
 	}
 	m.runTasks(n, now)
 	commands := n.watcher.Due(now)
-	for id, member := range s.Members {
-		if !member.Fenced && m.Gone(member.VM) {
+	for _, id := range s.LiveMembers() {
+		if m.Gone(s.Members[id].VM) {
 			commands = append(commands, fleet.Command{Fence: &fleet.Fence{Incarnation: id}})
 		}
 	}
--- a/limits/rules_test.go
+++ b/limits/rules_test.go
@@ -154,3 +154,29 @@
 	require.Equal(t, now.Add(limits.DefaultTaskLease), h.TaskEnd("t", 0, now))
 	require.Equal(t, h.LeaseEnd(), h.TaskEnd("t", 1, now))
 }
+
+// TestFirmPartsFollowTheConfiguration guards against firm parts that are declared while another holder has the whole limit and
+// never come free, and against ones that stay after they are no longer declared.
+func TestFirmPartsFollowTheConfiguration(t *testing.T) {
+	p := newPair(t, fleet.Team{Limit: 10})
+	p.fill("a", start)
+	p.round(start)
+	p.fill("a", start)
+	declare := func(id string, expect uint64, firm int) {
+		team := fleet.Change{Team: &fleet.Object[fleet.Team]{Name: "t", Value: &fleet.Team{Limit: 10, FirmPerEntryVM: firm}}}
+		p.append("", fleet.Command{Configure: &fleet.Configure{ID: id, Expect: expect, Changes: []fleet.Change{team}}})
+	}
+	declare("up", 0, 2)
+	for range 3 {
+		p.holders["a"].End("t")
+		p.fill("a", start)
+		p.round(start)
+		p.append("b", fleet.Command{Renew: &fleet.Renew{}})
+	}
+	require.Equal(t, fleet.Grant{Firm: 2}, p.state.GrantOf("t", "b"))
+	require.Equal(t, 8, p.holders["a"].Running("t"))
+	declare("down", 1, 0)
+	p.round(start.Add(time.Minute))
+	require.Equal(t, 0, p.state.GrantOf("t", "b").Total())
+	require.Equal(t, 10, p.state.GrantOf("t", "a").Total())
+}
