--- a/entry/view.go
+++ b/entry/view.go
@@ -130,6 +130,7 @@
 	e.takeWithdrawnLocked(statuses, config)
 	e.dispatchAllLocked()
 	e.preemptLocked(now)
+	e.vacateLocked()
 }
 
 func (e *Engine) takeLoadLocked(statuses []PeerStatus, now time.Time) {
