--- a/internal/fakefleet/fakefleet.go
+++ b/internal/fakefleet/fakefleet.go
@@ -263,7 +263,7 @@
 		DataCentre:  vm.Centre,
 		Offset:      vm.State.Offset,
 		ReadAge:     now.Sub(vm.readAt),
-		LogReadable: vm.View().Readable(now, Bound),
+		LogReadable: vm.logReadable || vm.View().Readable(now, Bound),
 	}
 }
 
