--- a/fleet/apply_vms.go
+++ b/fleet/apply_vms.go
@@ -13,7 +13,7 @@
 func (s *State) checkBudgets(c *Config, name string) Result {
 	vm := s.VMs[name]
 	server := s.declared(c, name)
-	pool := c.Pools[vm.Pool]
+	pool, poolStays := c.Pools[vm.Pool]
 	out := s.unavailable(c, name)
 	left := 0
 	for other, v := range s.VMs {
@@ -24,7 +24,8 @@
 	if left < pool.Min {
 		return reject(errkind.BudgetExceeded, "pool %q needs %d VMs and would have %d", vm.Pool, pool.Min, left)
 	}
-	if out.pool+1 > pool.MaxUnavailable {
+	// A pool that is removed together with its VMs needs none of them.
+	if poolStays && out.pool+1 > pool.MaxUnavailable {
 		return reject(errkind.BudgetExceeded, "pool %q has %d VMs unavailable of at most %d", vm.Pool, out.pool, pool.MaxUnavailable)
 	}
 	if svc, ok := c.Services[pool.Service]; ok && out.service+1 > svc.MaxUnavailable {
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -9,13 +9,17 @@
 	"time"
 )
 
-// readHeaderTimeout bounds the time in which a caller sends the headers of a request.
-const readHeaderTimeout = 10 * time.Second
+const (
+	// readHeaderTimeout bounds the time in which a caller sends the headers of a request.
+	readHeaderTimeout = 10 * time.Second
+	// idleTimeout ends connections without a request. Without it, idle ones would use up a bounded listener for good.
+	idleTimeout = 30 * time.Second
+)
 
 // Serve serves HTTP on a listener until ctx ends, and then finishes the calls in progress within grace. Connections that
 // are still open after grace are closed; most of them never carried a request.
 func Serve(ctx context.Context, l net.Listener, h http.Handler, grace time.Duration) error {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	stopped := make(chan error, 1)
 	stop := context.AfterFunc(ctx, func() {
 		wait, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/platform/server_test.go
@@ -53,9 +53,9 @@
 	list, err = client.VMs(ctx)
 	require.NoError(t, err)
 	require.Len(t, list, 1)
-	require.NoError(t, client.Reboot(ctx, "s1"))
+	require.NoError(t, client.Reboot(ctx, "s1", "key"))
 	require.Equal(t, "s1", rebooted)
-	require.Error(t, client.Reboot(ctx, "s2"))
+	require.Error(t, client.Reboot(ctx, "s2", "key"))
 
 	setFaults(t, server, platform.Faults{LoseAnswers: 1})
 	_, err = client.Append(ctx, []byte("lost"))
--- a/internal/standin/platform/vms.go
+++ b/internal/standin/platform/vms.go
@@ -66,8 +66,10 @@
 	c.mu.Lock()
 	_, known := c.vms[name]
 	reboot := c.options.Reboot
-	executed := key != "" && c.reboots[key]
-	c.reboots[key] = true
+	executed := known && key != "" && c.reboots[key]
+	if known {
+		c.reboots[key] = true
+	}
 	c.mu.Unlock()
 	if executed {
 		return nil
