Divide shares by slot-time above entitlement, with allotments between entry VMs

Cause: running counts are too coarse for shares below one slot, and an entry VM refilled its own slots although a peer had a team below its share waiting. Admission had no estimate of the start delay.

Ruled out by measurement: decayed usage without the entitlement (teams paid for lent slots), a full weight for the momentary running count (teams with less than one slot starved), decay of 1 to 10 s.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -45,3 +45,21 @@
 	}
 	return nil
 }
+
+// Backlog is the work that a request meets in its pool.
+type Backlog struct {
+	Ahead int // waiting requests that start before it, on all entry VMs
+	Free  int // free slots
+	Slots int // slots that serve these requests: the team's part of the pool, or the whole pool
+	// RunTime is the mean run time of these requests.
+	RunTime time.Duration
+}
+
+// StartDelay estimates the time until a request starts. When all slots are taken, one becomes free every RunTime/Slots.
+func StartDelay(b Backlog) time.Duration {
+	turns := b.Ahead + 1 - max(b.Free, 0)
+	if turns <= 0 {
+		return 0
+	}
+	return time.Duration(turns) * b.RunTime / time.Duration(max(b.Slots, 1))
+}
--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -22,6 +22,15 @@
 	Shares map[string]int // by team
 	// Running is the number of running tasks of each team in the pool, on all entry VMs.
 	Running map[string]int
+	// Usage is how far each team was above what it was entitled to on all entry VMs, in slots (Usage.Excess). Without it, the
+	// order is by running tasks for each unit of share.
+	Usage map[string]float64
+	// Held is the number of slots of the pool that this entry VM holds, HeldUrgent the part of them with urgent work, and
+	// Allotment how many it may hold while peers are short of slots (Allot). An Allotment of 0 means no bound. Overnight tasks
+	// do not count against urgent work.
+	Held       int
+	HeldUrgent int
+	Allotment  int
 	// Free is the number of free slots of the pool, and Reserve the number that overnight work must leave free.
 	Free    int
 	Reserve int
@@ -52,6 +61,18 @@
 	q.total++
 }
 
+// Return puts back a request that Next took out and that did not start, at its place by arrival.
+func (q *Queue) Return(item Item) {
+	teams := q.waiting[item.Class]
+	i := slices.IndexFunc(teams[item.Team], func(other Item) bool { return other.Enqueued.After(item.Enqueued) })
+	if i < 0 {
+		i = len(teams[item.Team])
+	}
+	teams[item.Team] = slices.Insert(teams[item.Team], i, item)
+	q.count[item.Team]++
+	q.total++
+}
+
 // Remove takes a request out, for example because its caller left. It reports false if the request was not waiting.
 func (q *Queue) Remove(item Item) bool {
 	teams := q.waiting[item.Class]
@@ -95,18 +116,20 @@
 // Next takes out the request that starts next: urgent work first, and within a class the team with the smallest
 // use of the fleet for its share. It returns false if nothing may start.
 func (q *Queue) Next(v View) (Item, bool) {
-	if v.Free <= 0 {
+	if v.Free <= 0 || v.atAllotment(v.HeldUrgent) {
 		return Item{}, false
 	}
 	if item, ok := q.nextOf(fleet.Urgent, v); ok {
 		return item, true
 	}
-	if v.Free <= v.Reserve {
+	if v.Free <= v.Reserve || v.atAllotment(v.Held) {
 		return Item{}, false
 	}
 	return q.nextOf(fleet.Overnight, v)
 }
 
+func (v View) atAllotment(held int) bool { return v.Allotment > 0 && held >= v.Allotment }
+
 func (q *Queue) nextOf(class fleet.Class, v View) (Item, bool) {
 	teams := q.waiting[class]
 	best := ""
@@ -127,15 +150,24 @@
 	return item, true
 }
 
-// before orders teams by running tasks for each unit of share, then by who has waited longest.
+// before orders teams by use for each unit of share, then by who has waited longest.
 func before(teams map[string][]Item, a, b string, v View) bool {
-	left := (v.Running[a] + 1) * max(v.Shares[b], 0)
-	right := (v.Running[b] + 1) * max(v.Shares[a], 0)
-	if left != right {
-		return left < right
+	if c := compareShare(v.use(a), v.Shares[a], v.use(b), v.Shares[b]); c != 0 {
+		return c < 0
 	}
 	if !teams[a][0].Enqueued.Equal(teams[b][0].Enqueued) {
 		return teams[a][0].Enqueued.Before(teams[b][0].Enqueued)
 	}
 	return a < b
 }
+
+// runningWeight is the part of a running task that counts at once, before Usage has integrated it. It keeps the slots that become free
+// together from all going to one team. With 1, teams with a share below one slot starve (docs/decisions/fair-shares.md).
+const runningWeight = 0.03
+
+func (v View) use(team string) float64 {
+	if v.Usage == nil {
+		return float64(v.Running[team] + 1)
+	}
+	return v.Usage[team] + runningWeight*float64(v.Running[team])
+}
