--- a/routing/choose.go
+++ b/routing/choose.go
@@ -12,10 +12,22 @@
 	Local      int // tasks that this entry VM runs on it
 	Remote     int // tasks that its peers said they run on it
 	Ejected    bool
+	// Full is set if the server refused a task more recently than the view of it can tell (FullMarks).
+	Full bool
+	// Failures is the number of the server's last tasks that failed in a row (Health.Failures). Each counts as a running
+	// task, so that a server that fails fast, and so looks idle, does not attract work.
+	Failures int
 }
 
 // Free returns the slots that are free by the VM's view.
-func (s Server) Free() int { return s.Slots - s.Local - s.Remote }
+func (s Server) Free() int {
+	if s.Full {
+		return 0
+	}
+	return s.Slots - s.Local - s.Remote
+}
+
+func (s Server) load() int { return s.Local + s.Remote + s.Failures }
 
 // Choose returns the index of the server to use, by power of two choices over the servers with a free slot, from the
 // VM's own data centre as long as one there has room. It returns false if no server has a free slot.
@@ -28,6 +40,14 @@
 	return chooseFrom(servers, rnd, func(s Server) bool { return usable(s, exclude) })
 }
 
+// ChooseProbe returns the index of the server to try when no server has a free slot by the VM's view: one that did not refuse a
+// task since the last heartbeat, by power of two choices. It returns false if there is none.
+func ChooseProbe(servers []Server, exclude map[string]bool, rnd *rand.Rand) (int, bool) {
+	return chooseFrom(servers, rnd, func(s Server) bool {
+		return !s.Ejected && !s.Full && !exclude[s.Name] && s.Local < s.Slots
+	})
+}
+
 func usable(s Server, exclude map[string]bool) bool {
 	return !s.Ejected && !exclude[s.Name] && s.Free() > 0
 }
@@ -51,6 +71,4 @@
 }
 
 // less reports whether a is relatively less loaded than b.
-func less(a, b Server) bool {
-	return (a.Local+a.Remote)*b.Slots < (b.Local+b.Remote)*a.Slots
-}
+func less(a, b Server) bool { return a.load()*b.Slots < b.load()*a.Slots }
--- /dev/null
+++ b/routing/fair_bench_test.go
@@ -0,0 +1,195 @@
+package routing_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/routing"
+)
+
+const fairSlots = 80
+
+// fairTeams returns n teams that each offer half as much again as their share and an equal part of the pool. Every third team's tasks are
+// 10 times as long if wrong is set.
+func fairTeams(n int, wrong, skewed bool, rate func(i int) func(time.Duration) float64, peak float64) []team {
+	teams := make([]team, n)
+	sum := 0
+	for i := range teams {
+		teams[i] = team{name: fmt.Sprintf("team-%02d", i), share: 1 + i*i%7*3, class: fleet.Urgent, run: 300 * time.Millisecond, maxWait: 60, rate: rate(i)}
+		sum += teams[i].share
+	}
+	for i := range teams {
+		t := &teams[i]
+		if wrong && i%3 == 0 {
+			t.run *= 10
+		}
+		if skewed {
+			t.entry = i + 1
+		}
+		slots := 1.5 * (float64(t.share)/float64(sum) + 1/float64(n)) * fairSlots
+		t.peak = peak * slots / t.run.Seconds()
+	}
+	return teams
+}
+
+func steady(int) func(time.Duration) float64 { return always }
+
+var fairPolicies = []struct {
+	name string
+	s    scenario
+}{
+	{"fifo", scenario{fifo: true, noAllot: true}},
+	{"alone", scenario{alone: true, noAllot: true, momentary: true}},
+	{"running", scenario{noAllot: true, momentary: true}},
+	{"usage+allot", scenario{noEntitle: true}},
+	{"excess", scenario{noAllot: true}},
+	{"excess+allot", scenario{}},
+}
+
+func BenchmarkFairShares(b *testing.B) {
+	for _, n := range []int{6, 62} {
+		inTurn := func(i int) func(time.Duration) float64 {
+			return bursts(time.Duration(i) * 20 * time.Second / time.Duration(n))
+		}
+		loads := []struct {
+			name string
+			s    scenario
+		}{
+			{"full", scenario{teams: fairTeams(n, false, false, steady, 1)}},
+			{"skewed", scenario{teams: fairTeams(n, false, true, steady, 1)}},
+			{"burst", scenario{teams: fairTeams(n, false, false, inTurn, 5)}},
+			{"replaced", scenario{teams: fairTeams(n, false, false, steady, 1), replace: []time.Duration{30 * time.Second, 40 * time.Second, 50 * time.Second}}},
+			{"wrong10x", scenario{teams: fairTeams(n, true, false, steady, 1)}},
+		}
+		for _, l := range loads {
+			for _, pol := range fairPolicies {
+				b.Run(fmt.Sprintf("%d/%s/%s", n, l.name, pol.name), func(b *testing.B) {
+					s := pol.s
+					s.teams, s.replace = l.s.teams, l.s.replace
+					fairRun(b, s)
+				})
+			}
+		}
+	}
+}
+
+func withDefaults(s scenario) scenario {
+	s.vms, s.servers, s.budget = 7, fairSlots/slotsPerServer, 10
+	s.choose, s.hold, s.probe = routing.Choose, routing.FullHold, routing.ProbeEvery
+	return s
+}
+
+func fairRun(b *testing.B, s scenario) {
+	s = withDefaults(s)
+	s.warm, s.end = 15*time.Second, 57*time.Second
+	for range b.N {
+		m := newModel(s, 1).run()
+		mean, largest := m.distance()
+		used := 0.0
+		for _, u := range m.used {
+			used += u
+		}
+		b.ReportMetric(0, "ns/op")
+		b.ReportMetric(100*mean, "mean-%")
+		b.ReportMetric(100*largest, "largest-%")
+		b.ReportMetric(100*used/(fairSlots*(s.end-s.warm).Seconds()), "used-%")
+		b.ReportMetric(float64(m.refusals)/float64(m.started), "refusals/req")
+	}
+}
+
+// urgentScenario has overnight tasks of 30 s that fill the pool, and urgent bursts.
+func urgentScenario(s scenario) scenario {
+	s = withDefaults(s)
+	s.end = 100 * time.Second
+	s.teams = []team{
+		{name: "night", share: 1, class: fleet.Overnight, run: 30 * time.Second, peak: 20, rate: always, maxWait: 20},
+		{name: "counter", share: 1, class: fleet.Urgent, run: 200 * time.Millisecond, peak: 150, rate: bursts(15 * time.Second)},
+	}
+	return s
+}
+
+// BenchmarkUrgent has overnight tasks of 30 s that fill the pool, and urgent bursts.
+func BenchmarkUrgent(b *testing.B) {
+	for _, c := range []struct {
+		name string
+		s    scenario
+	}{
+		{"priority-only", scenario{}},
+		{"reserve10", scenario{reserve: 10}},
+		{"preempt", scenario{preempt: true}},
+		{"reserve10+preempt", scenario{reserve: 10, preempt: true}},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			s := urgentScenario(c.s)
+			for range b.N {
+				m := newModel(s, 1).run()
+				report(b, m)
+				b.ReportMetric(p(1, m.delays[fleet.Urgent]), "max-ms")
+				b.ReportMetric(float64(m.checkpoints), "checkpoints")
+				b.ReportMetric(100*m.used["night"]/(fairSlots*s.end.Seconds()), "night-%")
+			}
+		})
+	}
+}
+
+// BenchmarkLent has a team with half of the shares that comes back after a pause of 30 s.
+func BenchmarkLent(b *testing.B) {
+	for _, pol := range fairPolicies {
+		b.Run(pol.name, func(b *testing.B) {
+			s := withDefaults(pol.s)
+			s.end = 60 * time.Second
+			s.teams = fairTeams(6, false, false, steady, 1)
+			sum := 0
+			for _, t := range s.teams[1:] {
+				sum += t.share
+			}
+			s.teams[0].share = sum
+			s.teams[0].peak = 400
+			s.teams[0].rate = func(now time.Duration) float64 {
+				if now < 30*time.Second {
+					return 0
+				}
+				return 1
+			}
+			for range b.N {
+				m, lent, back := newModel(s, 1), 0.0, time.Duration(0)
+				m.watch = func(now time.Duration) {
+					if now >= 20*time.Second && now < 30*time.Second {
+						lent += m.inUse() / 200
+					}
+					if back == 0 && now > 30*time.Second && m.held[s.teams[0].name] >= 0.9*fairSlots/2 {
+						back = now - 30*time.Second
+					}
+				}
+				m.run()
+				b.ReportMetric(0, "ns/op")
+				b.ReportMetric(100*lent/fairSlots, "lent-used-%")
+				b.ReportMetric(float64(back.Milliseconds()), "back-ms")
+			}
+		})
+	}
+}
+
+// BenchmarkAdmission has bursts that the pool cannot hold, and a deadline of 2 s.
+func BenchmarkAdmission(b *testing.B) {
+	for _, declared := range []time.Duration{20 * time.Millisecond, 200 * time.Millisecond, 2 * time.Second} {
+		for _, admit := range []bool{false, true} {
+			b.Run(fmt.Sprintf("declared=%v/admission=%v", declared, admit), func(b *testing.B) {
+				s := withDefaults(scenario{admit: admit})
+				s.end = 62 * time.Second
+				s.teams = []team{{
+					name: "t", share: 1, class: fleet.Urgent, run: 200 * time.Millisecond, declared: declared,
+					deadline: 2 * time.Second, peak: 800, rate: bursts(2 * time.Second),
+				}}
+				for range b.N {
+					m := newModel(s, 1).run()
+					report(b, m)
+					b.ReportMetric(100*float64(m.late)/float64(m.requests), "late-%")
+					b.ReportMetric(100*float64(m.done-m.late)/float64(m.requests), "in-time-%")
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,180 @@
+package routing_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"example.org/comfreyrouter/errkind"
+	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/internal/testenv"
+	"example.org/comfreyrouter/routing"
+)
+
+func TestMain(m *testing.M) { testenv.Main(m) }
+
+var (
+	start = time.Unix(1000, 0)
+	pool  = []string{"a", "b", "c", "d", "e", "f"}
+)
+
+func reportTimes(h *routing.Health, server string, ok bool, n int, now time.Time) {
+	for range n {
+		h.Report(server, ok, pool, now)
+	}
+}
+
+// Guards against a pool that is emptied by ejections, whatever the order of ends, probes, retracted failures and moves of servers.
+func TestNeverMoreThanAThirdIsOut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := routing.NewHealth(routing.DefaultHealthOptions())
+		now := start
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms")) * time.Millisecond)
+			server := rapid.SampledFrom(pool).Draw(t, "server")
+			members := pool[:rapid.IntRange(1, len(pool)).Draw(t, "size")]
+			switch rapid.IntRange(0, 5).Draw(t, "op") {
+			case 0:
+				h.Report(server, true, members, now)
+			case 1:
+				h.Started(server, now)
+			case 2:
+				h.Retract(server)
+			default:
+				reportTimes(h, server, false, 5, now)
+			}
+			require.LessOrEqual(t, 3*len(h.Out(members, now)), len(members))
+		}
+	})
+}
+
+// Guards against ejections that a failure of the whole pool causes, because no server is then at fault.
+func TestFailureOfAllServersEjectsAtMostAThird(t *testing.T) {
+	h := routing.NewHealth(routing.DefaultHealthOptions())
+	for range 20 {
+		for _, server := range pool {
+			h.Report(server, false, pool, start)
+		}
+	}
+	require.Empty(t, h.Out(pool, start))
+}
+
+// Guards against a bad server that comes back at full load, or stays out after it was repaired.
+func TestProbeAfterEjection(t *testing.T) {
+	h := routing.NewHealth(routing.DefaultHealthOptions())
+	reportTimes(h, "a", false, 5, start)
+	h.Report("a", true, pool, start.Add(time.Second))
+	require.True(t, h.Ejected("a", start.Add(9*time.Second)), "a task from before the ejection does not end it")
+	probe := start.Add(10 * time.Second)
+	require.False(t, h.Ejected("a", probe))
+	h.Started("a", probe)
+	require.True(t, h.Ejected("a", probe), "one probe at a time")
+	h.Report("a", false, pool, probe)
+	require.True(t, h.Ejected("a", probe.Add(19*time.Second)), "the second ejection is twice as long")
+	second := probe.Add(20 * time.Second)
+	h.Started("a", second)
+	h.Report("a", true, pool, second)
+	require.False(t, h.Ejected("a", second))
+}
+
+// Guards against healthy servers ejected by a job that fails everywhere.
+func TestPoisonJobEjectsNoServer(t *testing.T) {
+	h := routing.NewHealth(routing.DefaultHealthOptions())
+	for i := range 60 {
+		first := pool[i%len(pool)]
+		h.Report(first, false, pool, start)
+		h.Retract(first)
+		require.Empty(t, h.Out(pool, start))
+	}
+}
+
+// Guards against a second run of a request that may have started, more than 3 attempts, and retries above the budget.
+func TestRetryRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := routing.NewRetryBudget(10, 5)
+		requests, retries := 0, 0
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "request") {
+				budget.OnRequest()
+				requests++
+				continue
+			}
+			kind := rapid.SampledFrom(errkind.All()).Draw(t, "kind")
+			repeatable := rapid.Bool().Draw(t, "repeatable")
+			attempts := rapid.IntRange(1, 5).Draw(t, "attempts")
+			again := routing.MayRetry(kind, repeatable, attempts, budget)
+			if kind == errkind.BackendRefused {
+				require.True(t, again)
+				continue
+			}
+			require.False(t, again && !repeatable)
+			require.False(t, again && attempts >= routing.MaxAttempts)
+			if again {
+				retries++
+			}
+			require.LessOrEqual(t, 10*retries, requests+10*5)
+		}
+	})
+}
+
+// Guards against a server that is chosen although it is out, excluded, full or marked full, and against a server that fails fast and
+// looks idle.
+func TestChooseUsable(t *testing.T) {
+	rnd := newModel(scenario{}, 1).rnd
+	servers := []routing.Server{
+		{Name: "out", Slots: 8, Ejected: true},
+		{Name: "excluded", Slots: 8},
+		{Name: "full", Slots: 8, Local: 3, Remote: 5},
+		{Name: "marked", Slots: 8, Full: true},
+		{Name: "good", Slots: 8, Local: 3},
+		{Name: "failing", Slots: 8, Failures: 4},
+	}
+	chosen := map[string]int{}
+	for range 400 {
+		i, ok := routing.Choose(servers, "dc", map[string]bool{"excluded": true}, rnd)
+		require.True(t, ok)
+		chosen[servers[i].Name]++
+	}
+	require.Len(t, chosen, 2)
+	require.Greater(t, chosen["good"], 2*chosen["failing"])
+}
+
+// Guards against declarations that are wrong by 10 times, and against memory that grows with every queue ever seen.
+func TestRunTimesLearn(t *testing.T) {
+	for _, declared := range []time.Duration{100 * time.Millisecond, 10 * time.Second} {
+		r := routing.NewRunTimes()
+		require.Equal(t, declared, r.Estimate("q", "t", declared))
+		for i := range 4 {
+			r.Observe("q", "t", time.Duration(900+50*i)*time.Millisecond)
+		}
+		require.InDelta(t, time.Second, r.Estimate("q", "t", declared), float64(200*time.Millisecond))
+	}
+	r := routing.NewRunTimes()
+	for i := range 3000 {
+		r.Observe("q", string(rune('a'+i)), time.Second)
+	}
+	require.Equal(t, time.Minute, r.Estimate("q", "a", time.Minute), "the oldest is forgotten")
+	require.Equal(t, time.Second, r.Mean("q", string(rune('a'+2999)), time.Minute))
+}
+
+// Guards against ejections of healthy servers by poison jobs, and of a pool that fails as a whole, with several entry VMs.
+func TestEjectionInModel(t *testing.T) {
+	s := withDefaults(scenario{end: 20 * time.Second, poison: 0.05})
+	s.teams = []team{{name: "t", share: 1, class: fleet.Urgent, run: 200 * time.Millisecond, peak: 200, rate: always}}
+	require.Zero(t, newModel(s, 1).run().ejections)
+	s.poison, s.bad = 0, 10
+	require.LessOrEqual(t, 3*newModel(s, 1).run().ejections, s.servers)
+	s.bad = 1
+	m := newModel(s, 1).run()
+	require.Equal(t, 1, m.ejections)
+	require.Zero(t, m.failed)
+}
+
+// Guards against urgent work that waits behind overnight tasks. The target is a start within 3.1 s.
+func TestUrgentStartsInTime(t *testing.T) {
+	s := urgentScenario(scenario{preempt: true, reserve: 10})
+	m := newModel(s, 1).run()
+	require.LessOrEqual(t, p(1, m.delays[fleet.Urgent]), 3100.0)
+}
--- a/routing/runtimes.go
+++ b/routing/runtimes.go
@@ -1,35 +1,89 @@
 package routing
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// runTimeWeight is the weight of a new observation: one part in this number.
-const runTimeWeight = 8
+// Bounds of what RunTimes remembers: 32 durations for each of 1,024 queues and teams are 256 KB.
+const (
+	runTimeWindow  = 32
+	runTimeMaxKeys = 1024
+	// runTimeQuantile is the part of recent tasks, in percent, that ended within the estimate.
+	runTimeQuantile = 90
+)
 
 // RunTimes learns how long the tasks of a queue and team run, because declared run times can be far off.
 type RunTimes struct {
-	seen map[runTimeKey]time.Duration
+	seen map[runTimeKey]*runTimeRing
+	tick uint64
 }
 
 type runTimeKey struct{ queue, team string }
 
+// runTimeRing holds the newest run times of one queue and team.
+type runTimeRing struct {
+	times [runTimeWindow]time.Duration
+	count int // run times noted so far
+	used  uint64
+}
+
 // NewRunTimes returns a RunTimes that has seen no task.
-func NewRunTimes() *RunTimes { return &RunTimes{seen: map[runTimeKey]time.Duration{}} }
+func NewRunTimes() *RunTimes { return &RunTimes{seen: map[runTimeKey]*runTimeRing{}} }
 
 // Observe notes the run time of a task.
 func (r *RunTimes) Observe(queue, team string, d time.Duration) {
 	key := runTimeKey{queue, team}
-	old, ok := r.seen[key]
+	ring, ok := r.seen[key]
 	if !ok {
-		r.seen[key] = d
+		r.makeRoom()
+		ring = &runTimeRing{}
+		r.seen[key] = ring
+	}
+	r.tick++
+	ring.used = r.tick
+	ring.times[ring.count%runTimeWindow] = d
+	ring.count++
+}
+
+// makeRoom forgets the queue and team that was seen least recently if there are too many.
+func (r *RunTimes) makeRoom() {
+	if len(r.seen) < runTimeMaxKeys {
 		return
 	}
-	r.seen[key] = old + (d-old)/runTimeWeight
+	var oldest runTimeKey
+	least := r.tick + 1
+	for key, ring := range r.seen {
+		if ring.used < least {
+			oldest, least = key, ring.used
+		}
+	}
+	delete(r.seen, oldest)
 }
 
-// Estimate returns the learned run time, or the declared one before the first task.
+func (r *runTimeRing) newest() []time.Duration { return r.times[:min(r.count, runTimeWindow)] }
+
+// Estimate returns the run time within which 90% of the newest tasks ended, or the declared one before the first task. It suits
+// the question whether a request ends before its deadline.
 func (r *RunTimes) Estimate(queue, team string, declared time.Duration) time.Duration {
-	if d, ok := r.seen[runTimeKey{queue, team}]; ok {
-		return d
+	ring, ok := r.seen[runTimeKey{queue, team}]
+	if !ok {
+		return declared
+	}
+	sorted := slices.Sorted(slices.Values(ring.newest()))
+	return sorted[(len(sorted)*runTimeQuantile-1)/100]
+}
+
+// Mean returns the mean run time of the newest tasks, or the declared one before the first task. It suits the question how fast
+// a queue empties.
+func (r *RunTimes) Mean(queue, team string, declared time.Duration) time.Duration {
+	ring, ok := r.seen[runTimeKey{queue, team}]
+	if !ok {
+		return declared
+	}
+	var sum time.Duration
+	for _, d := range ring.newest() {
+		sum += d
 	}
-	return declared
+	return sum / time.Duration(len(ring.newest()))
 }
