--- a/routing/fair_bench_test.go
+++ b/routing/fair_bench_test.go
@@ -174,7 +174,7 @@
 
 // BenchmarkAdmission has bursts that the pool cannot hold, and a deadline of 2 s.
 func BenchmarkAdmission(b *testing.B) {
-	for _, declared := range []time.Duration{20 * time.Millisecond, 200 * time.Millisecond, 2 * time.Second} {
+	for _, declared := range []time.Duration{20 * time.Millisecond, 200 * time.Millisecond, 4 * time.Second} {
 		for _, admit := range []bool{false, true} {
 			b.Run(fmt.Sprintf("declared=%v/admission=%v", declared, admit), func(b *testing.B) {
 				s := withDefaults(scenario{admit: admit})
--- a/routing/model_test.go
+++ b/routing/model_test.go
@@ -350,5 +350,9 @@
 	}
 	b.RunTime = v.times.Mean("queue", r.team.name, r.team.declared)
 	load := admission.Load{StartDelay: admission.StartDelay(b), RunTime: v.times.Estimate("queue", r.team.name, r.team.declared)}
+	load.Unlearned = !v.times.Learned("queue", r.team.name)
+	if load.RunTime > r.team.deadline {
+		v.times.Doubt("queue", r.team.name)
+	}
 	return admission.Check(admission.Options{MaxBody: 1, MaxWaiting: 1 << 30, MaxWaitingBytes: 1}, load, 0, r.team.deadline) == nil
 }
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -159,6 +159,18 @@
 	require.Equal(t, time.Second, r.Mean("q", string(rune('a'+2999)), time.Minute))
 }
 
+// Guards against a queue that is refused for ever after its tasks were slow for a while: refused requests teach nothing.
+func TestDoubtForgetsSlowSpell(t *testing.T) {
+	r := routing.NewRunTimes()
+	r.Observe("q", "t", time.Minute)
+	require.True(t, r.Learned("q", "t"))
+	for range 32 {
+		r.Doubt("q", "t")
+	}
+	require.False(t, r.Learned("q", "t"))
+	require.Equal(t, time.Second, r.Estimate("q", "t", time.Second))
+}
+
 // Guards against ejections of healthy servers by poison jobs, and of a pool that fails as a whole, with several entry VMs.
 func TestEjectionInModel(t *testing.T) {
 	s := withDefaults(scenario{end: 20 * time.Second, poison: 0.05})
--- a/routing/runtimes.go
+++ b/routing/runtimes.go
@@ -23,9 +23,10 @@
 
 // runTimeRing holds the newest run times of one queue and team.
 type runTimeRing struct {
-	times [runTimeWindow]time.Duration
-	count int // run times noted so far
-	used  uint64
+	times  [runTimeWindow]time.Duration
+	count  int // run times noted so far
+	doubts int // refusals since the newest run time
+	used   uint64
 }
 
 // NewRunTimes returns a RunTimes that has seen no task.
@@ -44,6 +45,28 @@
 	ring.used = r.tick
 	ring.times[ring.count%runTimeWindow] = d
 	ring.count++
+	ring.doubts = 0
+}
+
+// Learned reports whether the estimate comes from tasks that ran, and not from a declaration.
+func (r *RunTimes) Learned(queue, team string) bool {
+	_, ok := r.seen[runTimeKey{queue, team}]
+	return ok
+}
+
+// Doubt notes that a request was refused because its estimated run time alone is longer than the time it has. Refused requests
+// teach nothing, so after as many as the window holds what was learned is forgotten, and the next request is a trial. Otherwise tasks
+// that were slow for a while would be refused for ever.
+func (r *RunTimes) Doubt(queue, team string) {
+	key := runTimeKey{queue, team}
+	ring, ok := r.seen[key]
+	if !ok {
+		return
+	}
+	ring.doubts++
+	if ring.doubts >= runTimeWindow {
+		delete(r.seen, key)
+	}
 }
 
 // makeRoom forgets the queue and team that was seen least recently if there are too many.
