Refuse tasks whose lease was computed for an earlier boot of a server

Cause: a backend server that restarts starts its clock anew. Until its next poll an entry VM computed task leases from the sample of the earlier boot, so a task could be given a lease of minutes instead of 15 s and outlive the grant of a holder that died.

Change: Status, Task and LeaseRequest carry a boot id. The server refuses a start with another boot id before the start and renews nothing; the entry VM drops its clock sample on such a refusal and asks for the status at once. The stand-in does the same.

After: at most 15 s, and the order is served.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -15,13 +15,14 @@
 	HeaderFence      = "Comfrey-Fence"
 	HeaderPoolEpoch  = "Comfrey-Pool-Epoch"
 	HeaderLeaseUntil = "Comfrey-Lease-Until-Ms"
+	HeaderBootID     = "Comfrey-Boot-Id" // boot of the server whose clock the lease is in
 	HeaderClass      = "Comfrey-Class"
 	HeaderQueue      = "Comfrey-Queue"
 	HeaderTeam       = "Comfrey-Team"
 	HeaderResume     = "Comfrey-Resume"  // "true" if the body is the state of a checkpointed task
 	HeaderDigest     = "Comfrey-Digest"  // xxhash64 of the answer's body, in hexadecimal
 	HeaderStarted    = "Comfrey-Started" // "false" on a refusal before the start
-	HeaderReason     = "Comfrey-Reason"  // reason of a refusal: busy, draining, fence, epoch, lease, duplicate
+	HeaderReason     = "Comfrey-Reason"  // reason of a refusal: busy, draining, fence, epoch, boot, lease, duplicate
 )
 
 // Task is a request as it goes to a backend server.
@@ -36,21 +37,27 @@
 	PoolEpoch uint64
 	// LeaseUntil is the end of the task's lease in milliseconds of the server's own clock.
 	LeaseUntil int64
-	Body       []byte
+	// BootID is the boot that LeaseUntil was computed for. A server that has restarted since has another clock and refuses the task.
+	BootID string
+	Body   []byte
 	// Resume says that Body is the state of a checkpointed task, which continues from there.
 	Resume bool
 }
 
 // LeaseRequest renews the leases of a holder's tasks on one server.
 type LeaseRequest struct {
-	Holder string           `json:"holder"`
-	Fence  uint64           `json:"fence"`
+	Holder string `json:"holder"`
+	Fence  uint64 `json:"fence"`
+	// BootID is the boot that Until was computed for. A server of another boot renews nothing and returns its status.
+	BootID string           `json:"boot_id"`
 	Until  map[string]int64 `json:"until"` // by task id, in milliseconds of the server's own clock
 }
 
 // Status is what a backend server says of itself.
 type Status struct {
 	Name string `json:"name"`
+	// BootID differs for every start of the server. ClockMillis starts anew with it.
+	BootID string `json:"boot_id"`
 	// ClockMillis is the server's own monotonic clock, in milliseconds.
 	ClockMillis int64          `json:"clock_millis"`
 	Slots       int            `json:"slots"`
--- a/backend/client.go
+++ b/backend/client.go
@@ -73,6 +73,12 @@
 // Error implements error.
 func (c *Checkpoint) Error() string { return "the task was checkpointed" }
 
+// ReasonBoot is the reason of a refusal for another boot id.
+const ReasonBoot = "boot"
+
+// ErrOtherBoot is the cause of a refusal by a server that has restarted since its clock was read.
+var ErrOtherBoot = errors.New("the server has restarted")
+
 // attempt notes what is known of one attempt to send a task.
 type attempt struct {
 	conn atomic.Pointer[net.Conn]
@@ -133,6 +139,7 @@
 	h.Set(HeaderFence, strconv.FormatUint(t.Fence, 10))
 	h.Set(HeaderPoolEpoch, strconv.FormatUint(t.PoolEpoch, 10))
 	h.Set(HeaderLeaseUntil, strconv.FormatInt(t.LeaseUntil, 10))
+	h.Set(HeaderBootID, t.BootID)
 	if t.Resume {
 		h.Set(HeaderResume, "true")
 	}
@@ -173,6 +180,8 @@
 		return body, nil
 	case resp.StatusCode == http.StatusAccepted:
 		return nil, &Checkpoint{State: body}
+	case resp.Header.Get(HeaderStarted) == "false" && resp.Header.Get(HeaderReason) == ReasonBoot:
+		return nil, errkind.Wrap(errkind.BackendRefused, fmt.Errorf("%s: %w", address, ErrOtherBoot))
 	case resp.Header.Get(HeaderStarted) == "false":
 		return nil, errkind.New(errkind.BackendRefused, "%s refused: %s", address, resp.Header.Get(HeaderReason))
 	}
--- a/backend/client_test.go
+++ b/backend/client_test.go
@@ -25,8 +25,8 @@
 	return s, l.Addr()
 }
 
-func task(id string) backend.Task {
-	return backend.Task{ID: id, Queue: "quote", Team: "a", Holder: "e1", Fence: 2, LeaseUntil: farLease, Body: []byte(`{"run_millis":1}`)}
+func task(s *backendserver.Server, id string) backend.Task {
+	return backend.Task{BootID: s.Status().BootID, ID: id, Queue: "quote", Team: "a", Holder: "e1", Fence: 2, LeaseUntil: farLease, Body: []byte(`{"run_millis":1}`)}
 }
 
 // TestRunDeliversOnlyWholeOwnAnswers guards against handing a truncated or crossed answer to a caller, and against a "not run"
@@ -47,11 +47,11 @@
 			c := backend.New(backend.Options{MaxConnsPerServer: 1})
 			defer c.Close()
 			s.SetFaults(tc.faults)
-			_, err := c.Run(t.Context(), address, task("t1"))
+			_, err := c.Run(t.Context(), address, task(s, "t1"))
 			assert.Equal(t, tc.want, errkind.Of(err))
 
 			s.SetFaults(backendserver.Faults{})
-			body, err := c.Run(t.Context(), address, task("t2"))
+			body, err := c.Run(t.Context(), address, task(s, "t2"))
 			require.NoError(t, err, "the next request must not meet the broken connection")
 			assert.JSONEq(t, `{"run_millis":1}`, string(body))
 		})
@@ -64,20 +64,24 @@
 	s, address := start(t, backendserver.Options{Slots: 1, OnStart: func(backend.Task) { started++ }})
 	c := backend.New(backend.Options{MaxConnsPerServer: 1})
 	defer c.Close()
-	_, err := c.Run(t.Context(), address, task("first"))
+	_, err := c.Run(t.Context(), address, task(s, "first"))
 	require.NoError(t, err)
 
-	stale := task("stale-fence")
+	stale := task(s, "stale-fence")
 	stale.Fence = 1
-	past := task("past-lease")
+	past := task(s, "past-lease")
 	past.LeaseUntil = 0
-	for _, refused := range []backend.Task{stale, past, task("first")} {
+	otherBoot := task(s, "other-boot")
+	otherBoot.BootID = "earlier"
+	_, err = c.Run(t.Context(), address, otherBoot)
+	assert.ErrorIs(t, err, backend.ErrOtherBoot)
+	for _, refused := range []backend.Task{stale, past, otherBoot, task(s, "first")} {
 		_, err := c.Run(t.Context(), address, refused)
 		assert.Equal(t, errkind.BackendRefused, errkind.Of(err), refused.ID)
 	}
 	_, err = c.Undrain(t.Context(), address, 7)
 	require.NoError(t, err)
-	_, err = c.Run(t.Context(), address, task("stale-epoch"))
+	_, err = c.Run(t.Context(), address, task(s, "stale-epoch"))
 	assert.Equal(t, errkind.BackendRefused, errkind.Of(err))
 	status, err := c.Drain(t.Context(), address, 8)
 	require.NoError(t, err)
@@ -85,7 +89,7 @@
 	status, err = c.Undrain(t.Context(), address, 7)
 	require.NoError(t, err)
 	assert.True(t, status.Draining, "a delayed end of an earlier drain has no effect")
-	drained := task("drained")
+	drained := task(s, "drained")
 	drained.PoolEpoch = 8
 	_, err = c.Run(t.Context(), address, drained)
 	assert.Equal(t, errkind.BackendRefused, errkind.Of(err))
@@ -96,10 +100,10 @@
 // TestCheckpointResumes guards against losing the work of a task that made room for urgent work.
 func TestCheckpointResumes(t *testing.T) {
 	begun := make(chan string, 2)
-	_, address := start(t, backendserver.Options{Slots: 1, OnStart: func(t backend.Task) { begun <- t.ID }})
+	s, address := start(t, backendserver.Options{Slots: 1, OnStart: func(t backend.Task) { begun <- t.ID }})
 	c := backend.New(backend.Options{MaxConnsPerServer: 1})
 	defer c.Close()
-	long := task("long")
+	long := task(s, "long")
 	long.Body = []byte(`{"order":"o1","run_millis":60000}`)
 	failed := make(chan error, 1)
 	go func() {
@@ -119,6 +123,6 @@
 	defer c.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	_, err := c.Run(ctx, "127.0.0.1:1", task("t"))
+	_, err := c.Run(ctx, "127.0.0.1:1", task(backendserver.New(backendserver.Options{}), "t"))
 	assert.Equal(t, errkind.BackendRefused, errkind.Of(err))
 }
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -199,7 +199,7 @@
 	c.assigned <- assignment{server: name, task: t, send: backend.Task{
 		ID: t.id, Queue: c.req.Queue, Team: c.team, Class: c.queue.Class,
 		Holder: e.options.VM, Fence: t.fence, PoolEpoch: s.epoch,
-		LeaseUntil: s.clock.at(t.leaseEnd, e.options.Limits.ClockRate), Body: c.req.Body, Resume: c.resume,
+		BootID: s.clock.boot, LeaseUntil: s.clock.at(t.leaseEnd, e.options.Limits.ClockRate), Body: c.req.Body, Resume: c.resume,
 	}}
 }
 
@@ -309,6 +309,9 @@
 		e.health.Report(a.server, true, e.byPool[a.task.pool], now)
 	case k == errkind.BackendRefused:
 		e.refusedLocked(a.server, now)
+		if errors.Is(err, backend.ErrOtherBoot) {
+			e.forgetClockLocked(a.server, a.send.BootID)
+		}
 	case c.ctx.Err() == nil && !a.task.stopping:
 		e.health.Report(a.server, false, e.byPool[a.task.pool], now)
 	}
--- a/entry/engine_test.go
+++ b/entry/engine_test.go
@@ -369,6 +369,25 @@
 	})
 }
 
+// TestServerRestart guards that a task on a server that has just restarted, with a clock that starts anew, gets no lease by the
+// clock of the earlier boot: it would outlive its holder's grant.
+func TestServerRestart(t *testing.T) {
+	withNodes(t, 4, func(t *testing.T, a, _ *node) {
+		time.Sleep(61500 * time.Millisecond)
+		a.backend.restart()
+		longest := time.Duration(0)
+		a.backend.setRun(func(_ context.Context, task backend.Task) ([]byte, error) {
+			a.backend.mu.Lock()
+			defer a.backend.mu.Unlock()
+			longest = max(longest, time.Duration(a.backend.until[task.ID]-a.backend.clock())*time.Millisecond)
+			return nil, nil
+		})
+		expect(t, a.Handle(t.Context(), order("after the restart")), "", errkind.Done)
+		require.Positive(t, longest)
+		require.LessOrEqual(t, longest, a.options.Limits.TaskLease)
+	})
+}
+
 // TestShutdown guards that a planned stop interrupts no request, and that the ids it did not run are known as not run afterwards.
 func TestShutdown(t *testing.T) {
 	withNodes(t, 4, func(t *testing.T, a, b *node) {
--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -209,6 +210,7 @@
 	until   map[string]int64
 	stops   map[string]chan struct{}
 	deaf    bool     // stops get lost
+	boot    int      // number of restarts
 	used    []string // addresses, in order of starts
 }
 
@@ -216,10 +218,26 @@
 
 func serverName(address string) string { return "s" + address[len("10.0.0.1:"):] }
 
+// restart resets the clock of the servers, which then run as if newly booted.
+func (b *fakeBackend) restart() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.boot++
+	b.started = time.Now()
+}
+
+func (b *fakeBackend) status(address string) backend.Status {
+	return backend.Status{Name: serverName(address), BootID: strconv.Itoa(b.boot), ClockMillis: b.clock()}
+}
+
 func (b *fakeBackend) clock() int64 { return time.Since(b.started).Milliseconds() }
 
 func (b *fakeBackend) Run(ctx context.Context, address string, t backend.Task) ([]byte, error) {
 	b.mu.Lock()
+	if t.BootID != strconv.Itoa(b.boot) {
+		b.mu.Unlock()
+		return nil, errkind.Wrap(errkind.BackendRefused, backend.ErrOtherBoot)
+	}
 	if t.LeaseUntil <= b.clock() {
 		b.mu.Unlock()
 		return nil, errkind.New(errkind.BackendRefused, "lease")
@@ -282,7 +300,9 @@
 }
 
 func (b *fakeBackend) Status(_ context.Context, address string) (backend.Status, error) {
-	return backend.Status{Name: serverName(address), ClockMillis: b.clock()}, nil
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.status(address), nil
 }
 
 func (b *fakeBackend) Renew(_ context.Context, address string, r backend.LeaseRequest) (backend.Status, error) {
@@ -291,7 +311,7 @@
 	for id, until := range r.Until {
 		b.until[id] = max(b.until[id], until)
 	}
-	return backend.Status{Name: serverName(address), ClockMillis: b.clock()}, nil
+	return b.status(address), nil
 }
 
 func (b *fakeBackend) Stop(_ context.Context, _, id, _ string, _ uint64) error {
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -14,6 +14,7 @@
 
 // clockSample is a server's own clock as read in a response.
 type clockSample struct {
+	boot       string    // boot of the server that the clock belongs to
 	server     int64     // milliseconds of the server's own clock
 	receivedAt time.Time // when the response was received, after the clock was read
 }
@@ -117,6 +118,15 @@
 	s.polledAt = time.Time{}
 }
 
+// forgetClockLocked drops the clock sample of a server that has restarted. It gets no work until it has told its new clock.
+func (e *Engine) forgetClockLocked(name string, boot string) {
+	if s, ok := e.servers[name]; ok && s.clock.boot == boot {
+		s.clock = clockSample{}
+		s.polledAt = time.Time{}
+		go e.pollServers(e.base)
+	}
+}
+
 // pollServers asks the servers that are due, each in a goroutine, and never two at once for one server.
 func (e *Engine) pollServers(ctx context.Context) {
 	e.mu.Lock()
@@ -131,7 +141,7 @@
 		s.polling = true
 		s.polledAt = now
 		until := e.leasesLocked(name, s, now)
-		go e.pollServer(ctx, name, s, until)
+		go e.pollServer(ctx, name, s, s.clock.boot, until)
 	}
 }
 
@@ -166,13 +176,13 @@
 	return slices.Index(tasks, t) < firm
 }
 
-func (e *Engine) pollServer(ctx context.Context, name string, s *server, until map[string]int64) {
+func (e *Engine) pollServer(ctx context.Context, name string, s *server, boot string, until map[string]int64) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	var status backend.Status
 	var err error
 	if len(until) > 0 {
-		request := backend.LeaseRequest{Holder: e.options.VM, Fence: e.fence(), Until: until}
+		request := backend.LeaseRequest{Holder: e.options.VM, Fence: e.fence(), BootID: boot, Until: until}
 		status, err = e.options.Backend.Renew(ctx, s.address, request)
 	} else {
 		status, err = e.options.Backend.Status(ctx, s.address)
@@ -184,7 +194,7 @@
 	if err != nil || status.Name != name {
 		return
 	}
-	s.clock = clockSample{server: status.ClockMillis, receivedAt: receivedAt}
+	s.clock = clockSample{boot: status.BootID, server: status.ClockMillis, receivedAt: receivedAt}
 	s.draining = status.Draining
 	s.refusals = 0
 	e.dispatchAllLocked()
--- a/internal/standin/backendserver/http.go
+++ b/internal/standin/backendserver/http.go
@@ -74,6 +74,7 @@
 		Fence:      fence,
 		PoolEpoch:  epoch,
 		LeaseUntil: until,
+		BootID:     h.Get(backend.HeaderBootID),
 		Body:       body,
 		Resume:     h.Get(backend.HeaderResume) == "true",
 	}, nil
--- a/internal/standin/backendserver/server.go
+++ b/internal/standin/backendserver/server.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/oklog/ulid/v2"
+
 	"example.org/comfreyrouter/backend"
 )
 
@@ -47,6 +49,7 @@
 // Server is one worker.
 type Server struct {
 	options Options
+	bootID  string
 	start   time.Time
 
 	mu        sync.Mutex
@@ -65,6 +68,7 @@
 	}
 	return &Server{
 		options: o,
+		bootID:  ulid.Make().String(),
 		start:   time.Now(),
 		tasks:   map[string]*task{},
 		seen:    map[string]bool{},
@@ -113,6 +117,8 @@
 		return "epoch"
 	case s.draining:
 		return "draining"
+	case t.BootID != s.bootID:
+		return backend.ReasonBoot
 	case s.seen[t.ID]:
 		return "duplicate"
 	case t.LeaseUntil <= s.clockMillis():
@@ -196,7 +202,7 @@
 func (s *Server) renew(r backend.LeaseRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r.Fence < s.fences[r.Holder] {
+	if r.Fence < s.fences[r.Holder] || r.BootID != s.bootID {
 		return
 	}
 	for id, until := range r.Until {
@@ -241,6 +247,7 @@
 	defer s.mu.Unlock()
 	st := backend.Status{
 		Name:        s.options.Name,
+		BootID:      s.bootID,
 		ClockMillis: s.clockMillis(),
 		Slots:       s.options.Slots,
 		Draining:    s.draining,
