Give grants back when a team's limit is lowered

Cause: a holder gave back only what it had not used for a while, so a team that was always busy kept its grants after its limit was lowered, and went on starting tasks above the limit for as long as it was busy.

Change: while the grants of a team exceed its limit, a holder starts a task only if that stays within the limit after all grants of others, and gives back what it neither runs nor may keep as its part of the limit. Running tasks end in peace. Stopping them was ruled out: it would cost orders for which nobody asked to be stopped.

Before: with a limit of 2, six tasks of one team kept running for the 8 s of its load (scenario 'lowered limit of a busy team'). After: none starts above the limit.

--- a/entry/grants.go
+++ b/entry/grants.go
@@ -9,6 +9,7 @@
 
 	"example.org/comfreyrouter/errkind"
 	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/limits"
 )
 
 // foldView is what the engine takes from the fold after a change.
@@ -19,17 +20,25 @@
 	grants    map[string]fleet.Grant
 	contested map[string]bool
 	room      map[string]bool // teams of which some of the limit is not granted
+	excess    map[string]*limits.Excess
 }
 
 func (e *Engine) readFold(s *fleet.State) foldView {
 	self := e.options.Incarnation
 	v := foldView{
 		vms: maps.Clone(s.VMs), grants: map[string]fleet.Grant{},
-		contested: map[string]bool{}, room: map[string]bool{},
+		contested: map[string]bool{}, room: map[string]bool{}, excess: map[string]*limits.Excess{},
 	}
 	v.member, v.isMember = s.Members[self]
 	for name, team := range s.Config.Teams {
-		v.room[name] = s.Granted(name) < team.Limit
+		granted := s.Granted(name)
+		v.room[name] = granted < team.Limit
+		if granted > team.Limit {
+			v.excess[name] = &limits.Excess{
+				Most:  max(0, team.Limit-(granted-s.GrantOf(name, self).Total())),
+				Share: s.ShareOfLimit(name, self),
+			}
+		}
 	}
 	for team, holders := range s.Grants {
 		for incarnation, g := range holders {
@@ -65,6 +74,9 @@
 	}
 	e.member, e.joined = v.member, v.isMember
 	e.room = v.room
+	for team := range e.options.Store.Config().Teams {
+		e.holder.SetExcess(team, v.excess[team])
+	}
 	e.setServersLocked(v.vms)
 	e.setGrantsLocked(v)
 	return nil
--- a/fleet/apply_grants.go
+++ b/fleet/apply_grants.go
@@ -20,6 +20,24 @@
 	return Result{}
 }
 
+// ShareOfLimit divides a team's limit among its holders in proportion to their grants, and returns the part of one of them. The
+// parts add up to the limit while the grants exceed it.
+func (s *State) ShareOfLimit(team, incarnation string) int {
+	limit, granted := s.Config.Teams[team].Limit, s.Granted(team)
+	if granted <= limit {
+		return s.GrantOf(team, incarnation).Total()
+	}
+	own, sum := 0, 0
+	for _, id := range sortedKeys(s.Grants[team]) {
+		before := sum * limit / granted
+		sum += s.Grants[team][id].Total()
+		if id == incarnation {
+			own = sum*limit/granted - before
+		}
+	}
+	return own
+}
+
 // giveBack lowers the writer's grants. The leased part goes first. The firm part stays.
 func (s *State) giveBack(writer string, c *GiveBack) Result {
 	for _, k := range c.Keep {
--- a/limits/holder.go
+++ b/limits/holder.go
@@ -42,6 +42,7 @@
 type teamUse struct {
 	grant     fleet.Grant
 	contested bool // another holder wants more than it has
+	excess    *Excess
 	running   int
 	waiting   int
 	peak      int       // highest use since peakFrom
@@ -79,9 +80,28 @@
 	t.contested = contested
 }
 
-// Allowed returns how many tasks of a team may run now.
+// Excess is what a holder may do while the grants of a team exceed its limit, because the limit was lowered.
+type Excess struct {
+	// Most bounds new starts: the limit without the grants of all others. Tasks that run already may end.
+	Most int
+	// Share is the holder's part of the limit. What it does not run above it goes back.
+	Share int
+}
+
+// SetExcess says that the grants of a team exceed its limit; nil says that they no longer do.
+func (h *Holder) SetExcess(team string, e *Excess) { h.team(team).excess = e }
+
+// Allowed returns how many tasks of a team may run before one more starts now.
 func (h *Holder) Allowed(team string, now time.Time) int {
 	t := h.team(team)
+	if t.excess != nil {
+		return min(h.granted(t, now), t.excess.Most)
+	}
+	return h.granted(t, now)
+}
+
+// granted returns how many tasks of a team may run on.
+func (h *Holder) granted(t *teamUse, now time.Time) int {
 	if now.Before(h.leaseEnd) {
 		return t.grant.Total()
 	}
@@ -121,9 +141,15 @@
 	plan := Plan{Stop: map[string]int{}}
 	for _, name := range h.names() {
 		t := h.teams[name]
-		if excess := t.running - h.Allowed(name, now); excess > 0 {
+		if excess := t.running - h.granted(t, now); excess > 0 {
 			plan.Stop[name] = excess
 		}
+		if t.excess != nil {
+			if keep := max(t.running, t.excess.Share); keep < t.grant.Total() {
+				plan.GiveBack = append(plan.GiveBack, fleet.TeamCount{Team: name, Count: keep})
+			}
+			continue
+		}
 		if want := t.running + t.waiting; want > t.grant.Total() && want != t.grant.Want {
 			plan.Ask = append(plan.Ask, fleet.TeamCount{Team: name, Count: want})
 			continue
