--- /dev/null
+++ b/internal/fleettest/norace_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package fleettest
+
+// checks is the number of drawn scenarios, each of which takes about 0.3 s.
+const checks = "40"
--- a/internal/standin/backendserver/http.go
+++ b/internal/standin/backendserver/http.go
@@ -1,6 +1,7 @@
 package backendserver
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -50,6 +51,9 @@
 	if f.Drop || f.Truncate {
 		return breakOff(c, t, body, f.Truncate)
 	}
+	if f.Corrupt && err == nil {
+		return send(c, t, http.StatusOK, backend.Digest(body), corrupted(body))
+	}
 	return answer(c, t, body, err)
 }
 
@@ -98,10 +102,17 @@
 	return write(c, t, http.StatusOK, body)
 }
 
+// corrupted returns a body of the same length with other bytes.
+func corrupted(body []byte) []byte { return bytes.Repeat([]byte{'x'}, len(body)) }
+
 func write(c echo.Context, t backend.Task, status int, body []byte) error {
+	return send(c, t, status, backend.Digest(body), body)
+}
+
+func send(c echo.Context, t backend.Task, status int, digest string, body []byte) error {
 	h := c.Response().Header()
 	h.Set(backend.HeaderTaskID, t.ID)
-	h.Set(backend.HeaderDigest, backend.Digest(body))
+	h.Set(backend.HeaderDigest, digest)
 	h.Set(echo.HeaderContentLength, strconv.Itoa(len(body)))
 	return c.Blob(status, echo.MIMEOctetStream, body)
 }
--- a/internal/standin/backendserver/server.go
+++ b/internal/standin/backendserver/server.go
@@ -34,6 +34,7 @@
 	Hang     bool          // tasks start and never end
 	Truncate bool          // answers stop halfway
 	Cross    bool          // answers carry the id of another task
+	Corrupt  bool          // answers have other bytes than their digest says
 	Drop     bool          // the connection breaks after the task has run
 }
 
