Confirm with the log that a key is unknown before saying not run

Cause: an entry VM that has just started, or that lags, does not know a key or an open queue yet. It answered key_unknown or key_missing with 'not run' for an order that had run through another VM. Only a view past the freshness bound was told apart, and key_missing not at all.

Change: for a non-repeatable request without a known team the VM puts a renewal into the log, waits until it has read it back, and looks again. If the log does not confirm within CloseWait the outcome is unknown.

--- a/entry/request.go
+++ b/entry/request.go
@@ -68,14 +68,16 @@
 	began time.Time
 	ctx   context.Context // ends at the deadline or when the caller leaves
 
-	resume   bool // the body is the state of a checkpointed run
-	claimed  bool // the claim is this VM's
-	attempts int  // attempts that may have started
-	refusals int  // attempts refused before the start, in a row
-	lastErr  error
-	exclude  map[string]bool // the server that failed last
-	assigned chan assignment
-	item     fairshare.Item
+	resume  bool // the body is the state of a checkpointed run
+	claimed bool // the claim is this VM's
+	// confirmed says that the log confirmed, after the call had come, that its key is unknown or missing.
+	confirmed bool
+	attempts  int // attempts that may have started
+	refusals  int // attempts refused before the start, in a row
+	lastErr   error
+	exclude   map[string]bool // the server that failed last
+	assigned  chan assignment
+	item      fairshare.Item
 
 	onServer bool // a task of this call may run; guarded by Engine.mu
 }
@@ -100,6 +102,10 @@
 func (e *Engine) Handle(ctx context.Context, req Request) Response {
 	c := &call{req: req, began: time.Now()}
 	err := e.identify(c)
+	if c.scope == "" && !req.Repeatable && e.caughtUp(ctx) == nil {
+		c.confirmed = true
+		err = e.identify(c)
+	}
 	resp := e.handle(ctx, c, err)
 	resp.RequestID = req.ID
 	if resp.Kind != "" {
@@ -201,20 +207,26 @@
 	return nil
 }
 
-// refuseUnidentified refuses a call without a known team. On a view that is not fresh the key may have been given lately, and
-// an earlier attempt may have run elsewhere.
+// refuseUnidentified refuses a call without a known team. On a view that the log has not confirmed, the key may have been given or the
+// queue opened lately, and an earlier attempt may have run elsewhere.
 func (e *Engine) refuseUnidentified(c *call, err error) Response {
 	resp := failure(err)
-	if errkind.Of(err) != errkind.KeyUnknown || c.req.Repeatable {
-		return resp
-	}
-	if stale := e.checkFresh(e.options.Store.Config()); stale != nil {
-		resp = failure(stale)
+	if !c.req.Repeatable && !c.confirmed {
+		resp = failed(errkind.ViewNotFresh, "the log did not confirm in time: %v", err)
 		resp.Outcome = errkind.Unknown
 	}
 	return resp
 }
 
+// caughtUp returns nil once this VM has read all records that were in the log when it was called. The renewal comes behind them,
+// whether it is accepted or not.
+func (e *Engine) caughtUp(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, e.options.CloseWait)
+	defer cancel()
+	_, err := e.options.Submitter.Submit(ctx, fleet.Command{Renew: &fleet.Renew{}})
+	return err
+}
+
 // withheld keeps the body of an answer from a caller whose key is not accepted, and tells the outcome only.
 func withheld(resp Response, err error) Response {
 	k := errkind.Of(err)
