Bound the start of tasks whose key may have been withdrawn

Causes, each found by a scenario: - The freshness of the view was checked when a request came, not when it was dispatched. A request that waited in a partition started 14.1 s after its key had been withdrawn, for a bound of 12 s. - A start that the network delayed was accepted until its lease ended, 14 s after the withdrawal. - A request forwarded to the issuer of its id lost its key on the way, so the issuer did not see that the key was withdrawn while the request waited.

Change: the dispatcher refuses a waiting request if the view is no longer fresh; the end of the freshness is noted by the tick and by each check, so that no lock is taken in another order. Starts carry the latest time at which the server may start them, 2 s after the dispatch; 2 s and the freshness bound add up to the target. ForwardArgs carries the key's id.

The oracle now knows that a VM may start tasks by an earlier limit until it has read the new one, as the design says of grants above a lowered limit.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -15,6 +15,7 @@
 	HeaderFence      = "Comfrey-Fence"
 	HeaderPoolEpoch  = "Comfrey-Pool-Epoch"
 	HeaderLeaseUntil = "Comfrey-Lease-Until-Ms"
+	HeaderStartUntil = "Comfrey-Start-Until-Ms"
 	HeaderBootID     = "Comfrey-Boot-Id" // boot of the server whose clock the lease is in
 	HeaderClass      = "Comfrey-Class"
 	HeaderQueue      = "Comfrey-Queue"
@@ -22,7 +23,7 @@
 	HeaderResume     = "Comfrey-Resume"  // "true" if the body is the state of a checkpointed task
 	HeaderDigest     = "Comfrey-Digest"  // xxhash64 of the answer's body, in hexadecimal
 	HeaderStarted    = "Comfrey-Started" // "false" on a refusal before the start
-	HeaderReason     = "Comfrey-Reason"  // reason of a refusal: busy, draining, fence, epoch, boot, lease, duplicate
+	HeaderReason     = "Comfrey-Reason"  // reason of a refusal: busy, draining, fence, epoch, boot, late, lease, duplicate
 )
 
 // Task is a request as it goes to a backend server.
@@ -37,7 +38,9 @@
 	PoolEpoch uint64
 	// LeaseUntil is the end of the task's lease in milliseconds of the server's own clock.
 	LeaseUntil int64
-	// BootID is the boot that LeaseUntil was computed for. A server that has restarted since has another clock and refuses the task.
+	// StartUntil is the latest time on the server's own clock, in milliseconds, at which the task may start.
+	StartUntil int64
+	// BootID is the boot that both times were computed for. A server that has restarted since has another clock and refuses the task.
 	BootID string
 	Body   []byte
 	// Resume says that Body is the state of a checkpointed task, which continues from there.
--- a/backend/client.go
+++ b/backend/client.go
@@ -139,6 +139,7 @@
 	h.Set(HeaderFence, strconv.FormatUint(t.Fence, 10))
 	h.Set(HeaderPoolEpoch, strconv.FormatUint(t.PoolEpoch, 10))
 	h.Set(HeaderLeaseUntil, strconv.FormatInt(t.LeaseUntil, 10))
+	h.Set(HeaderStartUntil, strconv.FormatInt(t.StartUntil, 10))
 	h.Set(HeaderBootID, t.BootID)
 	if t.Resume {
 		h.Set(HeaderResume, "true")
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -134,9 +134,9 @@
 			break
 		}
 		c := e.calls[item.ID]
-		if e.keyWithdrawnLocked(c) {
+		if err := e.keyRefusalLocked(c, now); err != nil {
 			e.poppedLocked(c)
-			c.assigned <- assignment{err: errkind.New(errkind.KeyWithdrawn, "key %q was withdrawn", c.keyID)}
+			c.assigned <- assignment{err: err}
 			continue
 		}
 		i, ok := routing.Choose(servers, e.options.DataCentre, c.exclude, e.rnd)
@@ -173,6 +173,10 @@
 	return view
 }
 
+// startWithin is how long after its dispatch a task may start. Together with the freshness of the view at the dispatch it bounds the
+// time for which a withdrawn key still starts tasks, however long the network delays them.
+const startWithin = 2 * time.Second
+
 // startLocked counts a task against the team's limit and hands it to the waiting call.
 func (e *Engine) startLocked(c *call, name string, now time.Time) {
 	e.poppedLocked(c)
@@ -199,7 +203,7 @@
 	c.assigned <- assignment{server: name, task: t, send: backend.Task{
 		ID: t.id, Queue: c.req.Queue, Team: c.team, Class: c.queue.Class,
 		Holder: e.options.VM, Fence: t.fence, PoolEpoch: s.epoch,
-		BootID: s.clock.boot, LeaseUntil: s.clock.at(t.leaseEnd, e.options.Limits.ClockRate), Body: c.req.Body, Resume: c.resume,
+		BootID: s.clock.boot, StartUntil: s.clock.at(now.Add(startWithin), e.options.Limits.ClockRate), LeaseUntil: s.clock.at(t.leaseEnd, e.options.Limits.ClockRate), Body: c.req.Body, Resume: c.resume,
 	}}
 }
 
--- a/entry/engine.go
+++ b/entry/engine.go
@@ -158,6 +158,7 @@
 	remoteLoad    map[string]int // peers' tasks by server
 	remoteRunning map[string]map[string]int
 	withdrawn     map[string]bool
+	freshUntil    time.Time // until when keys may be accepted on this VM's view
 }
 
 // New returns an engine. Run drives it.
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -136,7 +136,7 @@
 
 // HandleForward runs a peer's request whose id this VM issued. The peer has authenticated the team.
 func (e *Engine) HandleForward(ctx context.Context, args peer.ForwardArgs) peer.ResultReply {
-	c := &call{began: time.Now(), scope: args.Team, team: args.Team, req: Request{
+	c := &call{began: time.Now(), scope: args.Team, team: args.Team, keyID: args.KeyID, req: Request{
 		Queue: args.Queue, ID: args.RequestID, Repeatable: args.Repeatable, TimeLeft: args.TimeLeft, Body: args.Body,
 	}}
 	var err error
--- a/entry/once.go
+++ b/entry/once.go
@@ -158,7 +158,7 @@
 		return withheld(failed(errkind.IssuerUnreachable, "the entry VM that issued the id is not known"), refusal)
 	}
 	args := peer.ForwardArgs{
-		Queue: c.req.Queue, Team: c.scope, RequestID: c.req.ID,
+		Queue: c.req.Queue, Team: c.scope, KeyID: c.keyID, RequestID: c.req.ID,
 		TimeLeft: time.Until(c.began.Add(c.req.TimeLeft)), Body: c.req.Body,
 	}
 	wait := max(0, args.TimeLeft) + e.options.CloseWait
--- a/entry/view.go
+++ b/entry/view.go
@@ -58,7 +58,23 @@
 	if config.Policy.OnStaleView == fleet.ServeWhenStale {
 		return nil
 	}
-	if e.keyView().Fresh(time.Now(), freshnessBound(config)) {
+	now := time.Now()
+	until := e.keyView().FreshUntil(now, freshnessBound(config))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.noteFreshLocked(until)
+	return e.staleLocked(config, now)
+}
+
+func (e *Engine) noteFreshLocked(until time.Time) {
+	if until.After(e.freshUntil) {
+		e.freshUntil = until
+	}
+}
+
+// staleLocked is checkFresh on what was noted last.
+func (e *Engine) staleLocked(config *fleet.Config, now time.Time) error {
+	if config.Policy.OnStaleView == fleet.ServeWhenStale || !now.After(e.freshUntil) {
 		return nil
 	}
 	return errkind.New(errkind.ViewNotFresh, "this VM cannot confirm that the key was not withdrawn in the last %v", freshnessBound(config))
@@ -87,12 +103,16 @@
 	return e.withdrawn[keyID]
 }
 
-// keyWithdrawnLocked reports whether the key of a waiting call was withdrawn since it was accepted.
-func (e *Engine) keyWithdrawnLocked(c *call) bool {
+// keyRefusalLocked says why a waiting call may not start although its key was accepted: the key was withdrawn since, or may have been.
+func (e *Engine) keyRefusalLocked(c *call, now time.Time) error {
 	if c.keyID == "" {
-		return false
+		return nil
+	}
+	config := e.options.Store.Config()
+	if e.withdrawn[c.keyID] || config.Keys[c.keyID].Withdrawn {
+		return errkind.New(errkind.KeyWithdrawn, "key %q was withdrawn", c.keyID)
 	}
-	return e.withdrawn[c.keyID] || e.options.Store.Config().Keys[c.keyID].Withdrawn
+	return e.staleLocked(config, now)
 }
 
 // AnsweredHeartbeat notes that this VM answered a heartbeat of a peer: its lease counts anew.
@@ -108,12 +128,14 @@
 	statuses := e.options.Peers.Statuses()
 	config := e.options.Store.Config()
 	bound := freshnessBound(config)
-	since, outage := e.keyView().OutageForAllSince(now, bound)
+	view := e.keyView()
+	since, outage := view.OutageForAllSince(now, bound)
 	var members map[string]fleet.Member
 	e.options.Store.View(func(s *fleet.State) { members = maps.Clone(s.Members) })
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	_ = e.refreshLocked() // foldLoop reports the error
+	e.noteFreshLocked(view.FreshUntil(now, bound))
 	if outage && e.joined {
 		e.holder.Renewed(since)
 	}
--- a/internal/fleettest/nodes_test.go
+++ b/internal/fleettest/nodes_test.go
@@ -40,6 +40,7 @@
 	cancel      context.CancelFunc
 	running     sync.WaitGroup
 	killed      atomic.Bool
+	limitTag    int    // of the limit that it has read; guarded by oracle.mu
 	version     uint64 // of the configuration when last looked at; guarded by world.mu
 }
 
@@ -52,6 +53,8 @@
 		world: w, name: fmt.Sprintf("e%d", i), host: &host{centre: centre}, incarnation: w.newID(), store: fleet.NewStore(),
 	}
 	v.caller = platform.Caller{Name: v.incarnation, DataCentre: centre}
+	v.store.OnApplied(func(fleet.Applied) { w.oracle.read(v) })
+	v.store.OnInstalled(func(*fleet.State) { w.oracle.read(v) })
 	dial := w.net.dialer(v.host)
 	log := w.core.Client(v.caller)
 	v.exchange = peer.NewExchange(peer.ExchangeOptions{
--- a/internal/fleettest/regress_test.go
+++ b/internal/fleettest/regress_test.go
@@ -1,6 +1,7 @@
 package fleettest
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -26,6 +27,31 @@
 			{"limit", 0, 0, 1, 0, 10 * time.Second, false},
 		},
 	},
+	"new VM without a configuration": {
+		"an order that ran is called not run by a VM that does not know its queue or key yet", append([]op{
+			{"send", 0, 3, 7, time.Minute, time.Second, false},
+			{"cut-platform", 1, 0, 0, 20 * time.Second, 0, false},
+			{"kill", 1, 0, 0, time.Second, time.Second, false},
+		}, slices.Repeat([]op{{"again", 1, 3, 0, time.Minute, 5 * time.Millisecond, false}}, 100)...),
+	},
+	"key withdrawn while a request waits in a partition": {
+		"a waiting request starts on a view that is no longer fresh", []op{
+			{"limit", 0, 0, 0, 0, time.Second, false},
+			{"send", 0, 3, 12, time.Minute, time.Second, true},
+			{"cut", 0, 0, 0, 40 * time.Second, 0, false},
+			{"cut", 0, 1, 0, 40 * time.Second, 0, false},
+			{"cut-platform", 0, 0, 0, 40 * time.Second, 0, false},
+			{"withdraw", 1, 3, 0, 0, 20 * time.Second, false},
+		},
+	},
+	"start delayed in the network": {
+		"a start that was sent before the key was withdrawn arrives as late as its lease allows", []op{
+			{"send", 0, 3, 0, time.Minute, time.Second, false},
+			{"send", 0, 3, 0, time.Minute, 0, false},
+			{"freeze", 0, 0, 0, 14 * time.Second, 0, false},
+			{"withdraw", 1, 3, 0, 0, 20 * time.Second, false},
+		},
+	},
 }
 
 // TestRegressions guards against each fault that a scenario has found.
--- a/internal/standin/backendserver/server.go
+++ b/internal/standin/backendserver/server.go
@@ -122,6 +122,8 @@
 		return backend.ReasonBoot
 	case s.seen[t.ID]:
 		return "duplicate"
+	case t.StartUntil < s.clockMillis():
+		return "late"
 	case t.LeaseUntil <= s.clockMillis():
 		return "lease"
 	case len(s.tasks) >= s.options.Slots:
--- a/keys/freshness.go
+++ b/keys/freshness.go
@@ -71,11 +71,12 @@
 	return since, true
 }
 
-// Fresh reports whether a key may be checked on this view: a withdrawal older than bound would be in it.
-func (v View) Fresh(now time.Time, bound time.Duration) bool {
-	if now.Sub(v.ConfirmedAt()) <= bound {
-		return true
+// FreshUntil returns until when a key may be checked on this view: a withdrawal older than bound would be in it. What becomes known later
+// can only extend it.
+func (v View) FreshUntil(now time.Time, bound time.Duration) time.Time {
+	at := v.ConfirmedAt()
+	if since, outage := v.OutageForAllSince(now, bound); outage && since.After(at) {
+		at = since
 	}
-	_, outage := v.OutageForAllSince(now, bound)
-	return outage
+	return at.Add(bound)
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -58,6 +58,7 @@
 type ForwardArgs struct {
 	Queue      string
 	Team       string
+	KeyID      string // of the key with which the sender authenticated the team, empty for an open queue
 	RequestID  string
 	TimeLeft   time.Duration
 	Repeatable bool
