--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -147,9 +147,9 @@
 			break
 		}
 		c := e.calls[item.ID]
-		if e.keyWithdrawnLocked(c) {
+		if err := e.keyRefusalLocked(c, now); err != nil {
 			e.poppedLocked(c)
-			c.assigned <- assignment{err: errkind.New(errkind.KeyWithdrawn, "key %q was withdrawn", c.keyID)}
+			c.assigned <- assignment{err: err}
 			continue
 		}
 		i, ok := routing.Choose(servers, e.options.DataCentre, c.exclude, e.rnd)
@@ -205,6 +205,10 @@
 	return view
 }
 
+// startWithin is how long after its dispatch a task may start. Together with the freshness of the view at the dispatch it bounds the
+// time for which a withdrawn key still starts tasks, however long the network delays them.
+const startWithin = 2 * time.Second
+
 // startLocked counts a task against the team's limit and hands it to the waiting call.
 func (e *Engine) startLocked(c *call, name string, now time.Time) {
 	e.poppedLocked(c)
@@ -230,7 +234,7 @@
 	c.assigned <- assignment{server: name, task: t, send: backend.Task{
 		ID: t.id, Queue: c.req.Queue, Team: c.team, Class: c.queue.Class,
 		Holder: e.options.VM, Fence: t.fence, PoolEpoch: s.epoch,
-		LeaseUntil: s.clock.at(t.leaseEnd, e.options.Limits.ClockRate), Body: c.req.Body, Resume: c.resume,
+		BootID: s.clock.boot, StartUntil: s.clock.at(now.Add(startWithin), e.options.Limits.ClockRate), LeaseUntil: s.clock.at(t.leaseEnd, e.options.Limits.ClockRate), Body: c.req.Body, Resume: c.resume,
 	}}
 }
 
@@ -331,6 +335,9 @@
 		e.reportLocked(a.server, true, now)
 	case k == errkind.BackendRefused:
 		e.refusedLocked(a.server, now)
+		if errors.Is(err, backend.ErrOtherBoot) {
+			e.forgetClockLocked(a.server, a.send.BootID)
+		}
 	case c.ctx.Err() == nil && !a.task.stopping:
 		e.reportLocked(a.server, false, now)
 	}
--- a/internal/standin/backendserver/http.go
+++ b/internal/standin/backendserver/http.go
@@ -1,6 +1,7 @@
 package backendserver
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -51,6 +52,9 @@
 	if f.Drop || f.Truncate {
 		return breakOff(c, t, body, f.Truncate)
 	}
+	if f.Corrupt && err == nil {
+		return send(c, t, http.StatusOK, backend.Digest(body), corrupted(body))
+	}
 	return answer(c, t, body, err)
 }
 
@@ -63,7 +67,8 @@
 	fence, err1 := strconv.ParseUint(h.Get(backend.HeaderFence), 10, 64)
 	epoch, err2 := strconv.ParseUint(h.Get(backend.HeaderPoolEpoch), 10, 64)
 	until, err3 := strconv.ParseInt(h.Get(backend.HeaderLeaseUntil), 10, 64)
-	if err := errors.Join(err1, err2, err3); err != nil {
+	startUntil, err4 := strconv.ParseInt(h.Get(backend.HeaderStartUntil), 10, 64)
+	if err := errors.Join(err1, err2, err3, err4); err != nil {
 		return backend.Task{}, oops.Wrapf(err, "read the task's headers")
 	}
 	return backend.Task{
@@ -75,6 +80,8 @@
 		Fence:      fence,
 		PoolEpoch:  epoch,
 		LeaseUntil: until,
+		StartUntil: startUntil,
+		BootID:     h.Get(backend.HeaderBootID),
 		Body:       body,
 		Resume:     h.Get(backend.HeaderResume) == "true",
 	}, nil
@@ -98,10 +105,17 @@
 	return write(c, t, http.StatusOK, body)
 }
 
+// corrupted returns a body of the same length with other bytes.
+func corrupted(body []byte) []byte { return bytes.Repeat([]byte{'x'}, len(body)) }
+
 func write(c echo.Context, t backend.Task, status int, body []byte) error {
+	return send(c, t, status, backend.Digest(body), body)
+}
+
+func send(c echo.Context, t backend.Task, status int, digest string, body []byte) error {
 	h := c.Response().Header()
 	h.Set(backend.HeaderTaskID, t.ID)
-	h.Set(backend.HeaderDigest, backend.Digest(body))
+	h.Set(backend.HeaderDigest, digest)
 	h.Set(echo.HeaderContentLength, strconv.Itoa(len(body)))
 	return c.Blob(status, echo.MIMEOctetStream, body)
 }
--- a/internal/standin/backendserver/server.go
+++ b/internal/standin/backendserver/server.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/oklog/ulid/v2"
+
 	"example.org/comfreyrouter/backend"
 )
 
@@ -32,6 +34,7 @@
 	Hang     bool          // tasks start and never end
 	Truncate bool          // answers stop halfway
 	Cross    bool          // answers carry the id of another task
+	Corrupt  bool          // answers have other bytes than their digest says
 	Drop     bool          // the connection breaks after the task has run
 }
 
@@ -47,6 +50,7 @@
 // Server is one worker.
 type Server struct {
 	options Options
+	bootID  string
 	start   time.Time
 
 	mu        sync.Mutex
@@ -65,6 +69,7 @@
 	}
 	return &Server{
 		options: o,
+		bootID:  ulid.Make().String(),
 		start:   time.Now(),
 		tasks:   map[string]*task{},
 		seen:    map[string]bool{},
@@ -113,8 +118,12 @@
 		return "epoch"
 	case s.draining:
 		return "draining"
+	case t.BootID != s.bootID:
+		return backend.ReasonBoot
 	case s.seen[t.ID]:
 		return "duplicate"
+	case t.StartUntil < s.clockMillis():
+		return "late"
 	case t.LeaseUntil <= s.clockMillis():
 		return "lease"
 	case len(s.tasks) >= s.options.Slots:
@@ -196,7 +205,7 @@
 func (s *Server) renew(r backend.LeaseRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r.Fence < s.fences[r.Holder] {
+	if r.Fence < s.fences[r.Holder] || r.BootID != s.bootID {
 		return
 	}
 	for id, until := range r.Until {
@@ -263,6 +272,7 @@
 	defer s.mu.Unlock()
 	st := backend.Status{
 		Name:        s.options.Name,
+		BootID:      s.bootID,
 		ClockMillis: s.clockMillis(),
 		Slots:       s.options.Slots,
 		Draining:    s.draining,
--- a/keys/model_test.go
+++ b/keys/model_test.go
@@ -85,7 +85,7 @@
 func accepts(vm *fakefleet.VM, id string) bool {
 	withdrawn := func(id string) bool { return vm.Withdrawn[id] }
 	_, err := keys.Authenticate(vm.State.Config, withdrawn, id)
-	return err == nil && vm.View().Fresh(vm.Now(), fakefleet.Bound)
+	return err == nil && !vm.Now().After(vm.View().FreshUntil(vm.Now(), fakefleet.Bound))
 }
 
 func (m *model) check(vm *fakefleet.VM) {
