Log the listening addresses of an entry VM, and record the starts of a backend server stand-in

With port 0 only the process knows where it listens, so event 1001 names the three addresses. The stand-in's -starts file lets a test in another process count how often an order ran. A line is written before the task runs.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -76,9 +76,10 @@
 		}
 	}
 	s := o.Settings
-	events.Log(o.Logger, events.Started, s.Name, s.DataCentre, d.incarnation)
+	a := d.addresses()
+	events.Log(o.Logger, events.Started, s.Name, s.DataCentre, d.incarnation, a.Caller, a.Operator, a.Peer)
 	if o.Listening != nil {
-		o.Listening(d.addresses())
+		o.Listening(a)
 	}
 	err := k.Run(ctx)
 	if err != nil {
--- a/events/events.go
+++ b/events/events.go
@@ -19,7 +19,7 @@
 
 // The events. Numbers are never used again for another meaning.
 var (
-	Started          = Event{1001, zerolog.InfoLevel, "entry VM started", []string{"vm", "data_centre", "incarnation"}, "nothing"}
+	Started          = Event{1001, zerolog.InfoLevel, "entry VM started", []string{"vm", "data_centre", "incarnation", "caller_address", "operator_address", "peer_address"}, "nothing"}
 	Ready            = Event{1002, zerolog.InfoLevel, "entry VM ready", []string{"offset"}, "nothing"}
 	Draining         = Event{1003, zerolog.InfoLevel, "entry VM shutting down, finishing its requests", []string{"running"}, "nothing"}
 	Stopped          = Event{1004, zerolog.InfoLevel, "entry VM stopped", nil, "nothing"}
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"strings"
+	"sync"
 	"time"
 
+	"example.org/comfreyrouter/backend"
 	"example.org/comfreyrouter/internal/standin/backendserver"
 	"example.org/comfreyrouter/internal/standin/platform"
 	"example.org/comfreyrouter/logclient"
@@ -90,10 +94,20 @@
 	address := flags.String("address", "127.0.0.1:7100", "IP number and port to listen on")
 	name := flags.String("name", "backend-server", "name of the VM")
 	slots := flags.Int("slots", 8, "number of tasks that run at one time")
+	starts := flags.String("starts", "", "`file` to which a line of JSON is appended for each task that starts")
 	if err := parse(flags, args, errOut); err != nil {
 		return err
 	}
-	listener, err := backendserver.Listen(*address, backendserver.New(backendserver.Options{Name: *name, Slots: *slots}))
+	options := backendserver.Options{Name: *name, Slots: *slots}
+	if *starts != "" {
+		file, err := os.OpenFile(*starts, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		options.OnStart = startRecorder(file)
+	}
+	listener, err := backendserver.Listen(*address, backendserver.New(options))
 	if err != nil {
 		return err
 	}
@@ -101,3 +115,23 @@
 	<-ctx.Done()
 	return listener.Close()
 }
+
+// Start is a line of the file of -starts.
+type Start struct {
+	Queue string `json:"queue"`
+	Team  string `json:"team"`
+	Epoch uint64 `json:"epoch"` // phase epoch for which the task was sent
+	Body  []byte `json:"body"`
+}
+
+// startRecorder returns a function that writes a line for each task. A task runs only after its line was written.
+func startRecorder(out io.Writer) func(backend.Task) {
+	var mu sync.Mutex
+	encoder := json.NewEncoder(out)
+	return func(t backend.Task) {
+		mu.Lock()
+		defer mu.Unlock()
+		// A line that is missing fails the test that reads the file.
+		_ = encoder.Encode(Start{Queue: t.Queue, Team: t.Team, Epoch: t.PoolEpoch, Body: t.Body})
+	}
+}
