Grant firm parts at once when a change declares them

Firm parts were granted at a join and at a renewal only. Entry VMs join an empty fleet before the first apply, so for up to 60 s after it, and after any change that adds a team, an entry VM or a larger firm part, the team had none. An accepted change now grants firm parts to all members, as far as the limits allow.

--- a/fleet/apply_config.go
+++ b/fleet/apply_config.go
@@ -57,6 +57,7 @@
 	next.Version++
 	s.Config = next
 	s.syncVMs()
+	s.grantFirmToAll()
 	r := Result{Version: next.Version}
 	s.Configured.add(c.ID, r)
 	return r
--- a/fleet/apply_config_test.go
+++ b/fleet/apply_config_test.go
@@ -59,3 +59,16 @@
 	again := fleet.Change{GiveKey: &fleet.Object[fleet.Key]{Name: id, Value: &fleet.Key{Team: "team-01", Hash: s.Config.Keys[id].Hash}}}
 	assert.False(t, configure(s, "c", again).OK())
 }
+
+// TestChangeGrantsFirmPartsAtOnce guards against a team that is declared after the entry VMs have joined and has no grant when the log goes
+// down before their next renewal.
+func TestChangeGrantsFirmPartsAtOnce(t *testing.T) {
+	s, err := samplefleet.State(samplefleet.Size{Servers: 8, Pools: 2, Teams: 1, EntryVMs: 2, DataCentres: 1, Regions: 1})
+	require.NoError(t, err)
+	join := fleet.Command{Join: &fleet.Join{VM: samplefleet.EntryVM(0), DataCentre: "dc-0"}}
+	require.True(t, s.Apply(s.Offset+1, fleet.Batch{Writer: "01M", Seq: 1, Commands: []fleet.Command{join}})[0].OK())
+	late := fleet.Team{Share: 1, Limit: 5, FirmPerEntryVM: 2}
+	require.True(t, configure(s, "a", fleet.Change{Team: &fleet.Object[fleet.Team]{Name: "late", Value: &late}}).OK())
+	assert.Equal(t, 2, s.GrantOf("late", "01M").Firm)
+	assert.LessOrEqual(t, s.Granted("late"), late.Limit)
+}
--- a/fleet/apply_grants.go
+++ b/fleet/apply_grants.go
@@ -67,6 +67,16 @@
 	}
 }
 
+// grantFirmToAll gives all members their firm parts after a change of the configuration, which may have declared teams, entry VMs or
+// larger firm parts. Waiting for the next renewal would leave a team without a grant if the log goes down before.
+func (s *State) grantFirmToAll() {
+	for _, incarnation := range sortedKeys(s.Members) {
+		if !s.Members[incarnation].Fenced {
+			s.grantFirm(incarnation)
+		}
+	}
+}
+
 func (s *State) setGrant(team, incarnation string, g Grant) {
 	holders := s.Grants[team]
 	if g == (Grant{}) {
