Write the log events that were catalogued and never logged

A service of the daemon now logs each change of what the VM can read, confirm and hold (2001, 2002, 4001, 4002, 4004), the engine logs 5001 and 5004, and the daemon 1007. Still without a writer: 4003, 6005, 6103, 9001.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"example.org/comfreyrouter/backend"
 	"example.org/comfreyrouter/callerapi"
 	"example.org/comfreyrouter/entry"
+	"example.org/comfreyrouter/errkind"
 	"example.org/comfreyrouter/events"
 	"example.org/comfreyrouter/fleet"
 	"example.org/comfreyrouter/internal/httpserve"
@@ -43,6 +44,7 @@
 	serviceCallers   = "callers"
 	serviceOperators = "operators"
 	serviceDrain     = "drain"
+	serviceWatch     = "watch"
 )
 
 // Options are what a daemon is made from.
@@ -82,6 +84,9 @@
 		o.Listening(a)
 	}
 	err := k.Run(ctx)
+	if errkind.Of(err) == errkind.Fenced {
+		events.Log(o.Logger, events.FencedSelf, d.incarnation)
+	}
 	if err != nil {
 		events.Log(o.Logger, events.FatalError, err)
 		return err
@@ -155,13 +160,14 @@
 			Needs: []string{serviceStore, serviceWriter, serviceBackend, serviceLog, serviceEngine, serviceFollower, servicePeers},
 			New:   d.newReconciler,
 		},
+		{Name: serviceWatch, Needs: []string{serviceStore, serviceEngine, serviceFollower}, New: d.newWatch},
 		{Name: serviceCallers, Needs: []string{serviceEngine}, New: d.newCallers},
 		{
 			Name:  serviceOperators,
 			Needs: []string{serviceMetrics, serviceStore, serviceWriter, serviceEngine, serviceFollower, servicePeers},
 			New:   d.newOperators,
 		},
-		{Name: serviceDrain, Needs: []string{serviceEngine, serviceCallers, serviceOperators, servicePeerRPC, serviceReconcile, serviceSnapshots}, New: d.newDrain},
+		{Name: serviceDrain, Needs: []string{serviceEngine, serviceCallers, serviceOperators, servicePeerRPC, serviceReconcile, serviceSnapshots, serviceWatch}, New: d.newDrain},
 	}
 }
 
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -9,7 +9,6 @@
 	"github.com/rs/zerolog"
 
 	"example.org/comfreyrouter/entry"
-	"example.org/comfreyrouter/errkind"
 	"example.org/comfreyrouter/events"
 	"example.org/comfreyrouter/fleet"
 	"example.org/comfreyrouter/kernel"
@@ -200,14 +199,9 @@
 
 // logging counts the events of the log client and notes those that an operator should see.
 func logging(logger zerolog.Logger, m *metrics.Metrics) logclient.CountFunc {
-	var down atomic.Bool
 	return func(e logclient.Event) {
 		m.LogEvent(e)
 		switch e {
-		case logclient.EventReadFailed:
-			if !down.Swap(true) {
-				events.Log(logger, events.LogUnreadable, errkind.LogUnavailable)
-			}
 		case logclient.EventRestored, logclient.EventPeerSnapshot:
 			events.Log(logger, events.SnapshotRestored)
 		case logclient.EventSnapshotWritten:
--- /dev/null
+++ b/daemon/watch.go
@@ -0,0 +1,84 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"example.org/comfreyrouter/entry"
+	"example.org/comfreyrouter/errkind"
+	"example.org/comfreyrouter/events"
+	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/kernel"
+	"example.org/comfreyrouter/logclient"
+)
+
+// watchPeriod is how often the state that operators are told of is looked at.
+const watchPeriod = 250 * time.Millisecond
+
+// watch logs the changes of what this VM can read, confirm and hold.
+type watch struct {
+	logger   zerolog.Logger
+	store    *fleet.Store
+	engine   *entry.Engine
+	follower *logclient.Follower
+
+	readable, fresh, leased bool
+}
+
+func (d *daemon) newWatch(l kernel.Lookup) (any, error) {
+	e, err := kernel.Get[*entry.Engine](l, serviceEngine)
+	if err != nil {
+		return nil, err
+	}
+	f, err := kernel.Get[*logclient.Follower](l, serviceFollower)
+	if err != nil {
+		return nil, err
+	}
+	return &watch{logger: d.Logger, store: d.store, engine: e, follower: f, readable: true, fresh: true}, nil
+}
+
+// Run logs changes from the time at which the VM is ready until ctx ends.
+func (w *watch) Run(ctx context.Context) error {
+	ticker := time.NewTicker(watchPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			w.look()
+		}
+	}
+}
+
+func (w *watch) look() {
+	if changed(&w.readable, w.follower.Readable()) {
+		if w.readable {
+			events.Log(w.logger, events.LogReadable, w.store.Offset())
+		} else {
+			events.Log(w.logger, events.LogUnreadable, errkind.LogUnavailable)
+		}
+	}
+	if !w.engine.Joined() {
+		return
+	}
+	if changed(&w.fresh, w.engine.Fresh()) {
+		if w.fresh {
+			events.Log(w.logger, events.ViewFresh)
+		} else {
+			events.Log(w.logger, events.ViewStale, time.Since(w.follower.ReadAt()))
+		}
+	}
+	if changed(&w.leased, w.engine.LeaseLeft() > 0) && !w.leased {
+		events.Log(w.logger, events.LeaseLapsed)
+	}
+}
+
+// changed notes the present value and reports whether it is another one.
+func changed(last *bool, now bool) bool {
+	was := *last
+	*last = now
+	return was != now
+}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -10,6 +10,7 @@
 
 	"example.org/comfreyrouter/backend"
 	"example.org/comfreyrouter/errkind"
+	"example.org/comfreyrouter/events"
 	"example.org/comfreyrouter/fairshare"
 	"example.org/comfreyrouter/routing"
 )
@@ -324,6 +325,15 @@
 // taskEnded counts the task out if its end is confirmed. Otherwise the task counts until its lease, which is not renewed any
 // more, has run out on the server.
 func (e *Engine) taskEnded(c *call, a assignment, err error, runTime time.Duration) {
+	if errkind.Of(err) == errkind.AnswerCorrupt {
+		events.Log(e.options.Logger, events.AnswerRejected, a.server, err)
+	}
+	ejected := false
+	defer func() {
+		if ejected {
+			events.Log(e.options.Logger, events.ServerEjected, a.server)
+		}
+	}()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
@@ -342,7 +352,9 @@
 	case k == errkind.BackendRefused:
 		e.refusedLocked(a.server, now)
 	case c.ctx.Err() == nil && !a.task.stopping:
+		before := e.health.Ejected(a.server, now)
 		e.reportLocked(a.server, false, now)
+		ejected = !before && e.health.Ejected(a.server, now)
 	}
 	if k == "" || k == errkind.BackendRefused || k == errkind.BackendFailed {
 		e.endLocked(a.task)
--- a/entry/engine.go
+++ b/entry/engine.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"example.org/comfreyrouter/admission"
 	"example.org/comfreyrouter/backend"
 	"example.org/comfreyrouter/claims"
@@ -79,6 +81,7 @@
 	Peers     Peers
 	LogView   LogView
 	Counters  Counters
+	Logger    zerolog.Logger // may be left out
 
 	Admission   admission.Options
 	Limits      limits.Options
