--- a/ctl/client.go
+++ b/ctl/client.go
@@ -21,6 +21,8 @@
 	dialTimeout = 2 * time.Second
 	// attemptTimeout leaves an entry VM the whole time that it waits for the log itself.
 	attemptTimeout = operatorapi.DefaultSubmitTimeout + 2*time.Second
+	// readTimeout is shorter, because an entry VM answers a read from its memory. An operator whose first server is frozen gets on soon.
+	readTimeout = 3 * time.Second
 	// roundPause is the wait after every server was asked in vain.
 	roundPause = 250 * time.Millisecond
 )
@@ -98,7 +100,11 @@
 
 // attempt reports false if another attempt may give a better answer.
 func (c *Client) attempt(ctx context.Context, server, method, path string, data []byte, into any) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	timeout := attemptTimeout
+	if method == http.MethodGet {
+		timeout = readTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+server+path, bytes.NewReader(data))
 	if err != nil {
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,11 +17,9 @@
 	"example.org/comfreyrouter/peer"
 )
 
-// platform is the platform's client with the last list of VMs kept for those that must not wait for it.
+// platform is the platform's client, with the list of VMs as the reconciler reads it.
 type platform struct {
 	*logclient.HTTP
-	mu   sync.Mutex
-	last map[string]logclient.VMState
 }
 
 func newPlatform(h *logclient.HTTP) *platform { return &platform{HTTP: h} }
