--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -103,8 +103,9 @@
 	setNumber(ts, &o.deadline, opts["deadline"])
 	address, key := f.callers[words[0]], f.keys[o.team]
 	if as := opts["as"]; as != "" {
-		f.pending[as] = make(chan answer, 1)
-		go func() { f.pending[as] <- send(http.DefaultClient, address, key, o) }()
+		answers := make(chan answer, 1)
+		f.pending[as] = answers
+		go func() { answers <- send(http.DefaultClient, address, key, o) }()
 		return
 	}
 	want := regexp.MustCompile("^(" + words[2] + ")$")
--- a/internal/scenario/load_test.go
+++ b/internal/scenario/load_test.go
@@ -26,6 +26,7 @@
 // load sends orders without a pause until it is ended. Its callers repeat an order until they know its outcome, as members do.
 type load struct {
 	fleet  *fleet
+	prefix string // of the names of its orders
 	client *http.Client
 	stop   chan struct{}
 	ended  sync.WaitGroup
@@ -46,7 +47,7 @@
 	if args[0] == "start" {
 		transport := &http.Transport{MaxIdleConnsPerHost: loadCallers}
 		f.load = &load{
-			fleet: f, client: &http.Client{Transport: transport}, stop: make(chan struct{}),
+			fleet: f, prefix: ulid.Make().String(), client: &http.Client{Transport: transport}, stop: make(chan struct{}),
 			done: map[string]order{}, unknown: map[string]order{}, told: map[string]int{},
 		}
 		for i := range loadCallers {
@@ -58,6 +59,7 @@
 	_, opts := options(args[1:])
 	f.load.end()
 	ts.Check(f.load.judge(opts))
+	ts.Logf("%d orders done, %d unknown, told %v", len(f.load.done), len(f.load.unknown), f.load.told)
 }
 
 func (l *load) end() {
@@ -81,7 +83,7 @@
 	l.mu.Lock()
 	l.next++
 	o := order{
-		name: fmt.Sprintf("load-%d", l.next), queue: []string{"quote", "order"}[l.next%2], team: "varmland",
+		name: fmt.Sprintf("%s-%d", l.prefix, l.next), queue: []string{"quote", "order"}[l.next%2], team: "varmland",
 		run: 5 + rnd.IntN(40), deadline: 60_000, once: l.next%4 != 0,
 	}
 	issued := l.next%4 == 1
--- a/internal/scenario/request_test.go
+++ b/internal/scenario/request_test.go
@@ -68,7 +68,7 @@
 		return answer{outcome: broken, detail: err.Error()}
 	}
 	a := answer{outcome: resp.Header.Get(callerapi.HeaderOutcome), kind: resp.Header.Get(callerapi.HeaderErrorKind), detail: string(body)}
-	if a.outcome == string(errkind.Done) && !bytes.Equal(body, o.body()) {
+	if a.text() == string(errkind.Done) && !bytes.Equal(body, o.body()) {
 		a.outcome = "wrong-body"
 	}
 	return a
