--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -118,10 +118,11 @@
 
 // Start is a line of the file of -starts.
 type Start struct {
-	Queue string `json:"queue"`
-	Team  string `json:"team"`
-	Epoch uint64 `json:"epoch"` // phase epoch for which the task was sent
-	Body  []byte `json:"body"`
+	At    time.Time `json:"at"`
+	Queue string    `json:"queue"`
+	Team  string    `json:"team"`
+	Epoch uint64    `json:"epoch"` // phase epoch for which the task was sent
+	Body  []byte    `json:"body"`
 }
 
 // startRecorder returns a function that writes a line for each task. A task runs only after its line was written.
@@ -132,6 +133,6 @@
 		mu.Lock()
 		defer mu.Unlock()
 		// A line that is missing fails the test that reads the file.
-		_ = encoder.Encode(Start{Queue: t.Queue, Team: t.Team, Epoch: t.PoolEpoch, Body: t.Body})
+		_ = encoder.Encode(Start{At: time.Now(), Queue: t.Queue, Team: t.Team, Epoch: t.PoolEpoch, Body: t.Body})
 	}
 }
--- a/internal/standin/backendserver/http.go
+++ b/internal/standin/backendserver/http.go
@@ -47,6 +47,7 @@
 	}
 	if f.Cross {
 		t.ID = "crossed-" + t.ID
+		body = []byte("the answer of another task")
 	}
 	if f.Drop || f.Truncate {
 		return breakOff(c, t, body, f.Truncate)
