--- a/fleet/apply_grants.go
+++ b/fleet/apply_grants.go
@@ -191,3 +191,11 @@
 	}
 	holders[incarnation] = g
 }
+
+// grantFirmToAll gives all members their firm parts after a change of the configuration, which may have declared teams, entry VMs or
+// larger firm parts. Waiting for the next renewal would leave a team without a grant if the log goes down before.
+func (s *State) grantFirmToAll() {
+	for _, incarnation := range s.LiveMembers() {
+		s.grantFirm(incarnation)
+	}
+}
