Append through a peer while the platform cannot be reached

Cause: a VM that was cut off from the platform alone read the log through its peers but could append nothing: claims, renewals, asks and withdrawals waited until the cut ended.

Change: Peer.Append has a peer append a batch with its own client; batches carry writer and sequence number, so copies are harmless. The peer is the one that read the log last by itself. For that Engine.Status tells the VM's own reads and those it heard of apart, as peer.Status declares; it had put both into LogReadable.

Before: TestAppendThroughPeer got claim_unconfirmed for every order. After: all are done, and a withdrawal is in the log within 5 s.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -140,14 +140,14 @@
 		{Name: serviceBackend, New: d.newBackend},
 		{Name: servicePeers, Needs: []string{serviceStore}, New: d.newPeers},
 		{Name: serviceFollower, Needs: []string{serviceMetrics, serviceStore, serviceLog, servicePeers}, New: d.newFollower},
-		{Name: serviceWriter, Needs: []string{serviceMetrics, serviceStore, serviceLog, serviceFollower}, New: d.newWriter},
+		{Name: serviceWriter, Needs: []string{serviceMetrics, serviceStore, serviceLog, serviceFollower, servicePeers}, New: d.newWriter},
 		{Name: serviceSnapshots, Needs: []string{serviceMetrics, serviceStore, serviceFollower, serviceWriter}, New: d.newSnapshotter},
 		{
 			Name:  serviceEngine,
 			Needs: []string{serviceMetrics, serviceStore, serviceFollower, serviceWriter, servicePeers, serviceBackend},
 			New:   d.newEngine,
 		},
-		{Name: servicePeerRPC, Needs: []string{serviceEngine, serviceFollower, serviceStore}, New: d.newPeerServer},
+		{Name: servicePeerRPC, Needs: []string{serviceEngine, serviceFollower, serviceStore, serviceLog}, New: d.newPeerServer},
 		{
 			Name:  serviceReconcile,
 			Needs: []string{serviceStore, serviceWriter, serviceBackend, serviceLog, serviceEngine, serviceFollower, servicePeers},
@@ -211,12 +211,16 @@
 	if err != nil {
 		return nil, err
 	}
+	p, err := kernel.Get[*peers](l, servicePeers)
+	if err != nil {
+		return nil, err
+	}
 	m, err := kernel.Get[*metrics.Metrics](l, serviceMetrics)
 	if err != nil {
 		return nil, err
 	}
 	return logclient.NewWriter(logclient.WriterOptions{
-		Log: platform, Store: d.store, Incarnation: d.incarnation, Count: logging(d.Logger, m),
+		Log: platform, Store: d.store, Incarnation: d.incarnation, Fallback: p.Exchange, Count: logging(d.Logger, m),
 	}), nil
 }
 
--- a/daemon/engine.go
+++ b/daemon/engine.go
@@ -94,7 +94,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return peer.Serve(d.listeners.peer, &peerHandler{LogSource: peer.LogSource{Follower: f, Store: d.store}, engine: e}), nil
+	log, err := kernel.Get[*platform](l, serviceLog)
+	if err != nil {
+		return nil, err
+	}
+	return peer.Serve(d.listeners.peer, &peerHandler{LogSource: peer.LogSource{Follower: f, Store: d.store, Log: log}, engine: e}), nil
 }
 
 // drain stops first of all services: it lets the engine finish its requests while everything that they need still runs.
--- a/entry/view.go
+++ b/entry/view.go
@@ -215,7 +215,7 @@
 	for _, p := range o.Peers.Statuses() {
 		// Only the peer's own reads count: otherwise two VMs that cannot read would go on confirming each other.
 		own := p.LogReadable && now.Sub(p.AskedAt)+p.ReadAge <= bound
-		st.LogReadable = st.LogReadable || own
+		st.HeardReadable = st.HeardReadable || own
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/fleettest/nodes_test.go
+++ b/internal/fleettest/nodes_test.go
@@ -62,14 +62,14 @@
 		Dial: func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "", address) },
 	})
 	v.follower = logclient.NewFollower(logclient.FollowerOptions{Log: log, Store: v.store, Fallback: v.exchange})
-	v.writer = logclient.NewWriter(logclient.WriterOptions{Log: log, Store: v.store, Incarnation: v.incarnation})
+	v.writer = logclient.NewWriter(logclient.WriterOptions{Log: log, Store: v.store, Incarnation: v.incarnation, Fallback: v.exchange})
 	v.client = backend.New(backend.Options{MaxConnsPerServer: 16, DialContext: dial})
 	o := entry.DefaultOptions()
 	o.VM, o.DataCentre, o.PeerAddress, o.Incarnation = v.name, centre, peerAddress(i), v.incarnation
 	o.Store, o.Submitter, o.Backend, o.Peers, o.LogView, o.Counters = v.store, v.writer, v.client, v, v.follower, nullCounters{}
 	o.Limits.Lease = grantLease
 	v.Engine = entry.New(o)
-	v.server = peer.Serve(w.net.listen(v.host, peerAddress(i)), handler{peer.LogSource{Follower: v.follower, Store: v.store}, v})
+	v.server = peer.Serve(w.net.listen(v.host, peerAddress(i)), handler{peer.LogSource{Follower: v.follower, Store: v.store, Log: log}, v})
 	v.run(i)
 	return v
 }
--- a/internal/fleettest/regress_test.go
+++ b/internal/fleettest/regress_test.go
@@ -3,9 +3,12 @@
 import (
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"example.org/comfreyrouter/errkind"
 )
 
 // Requests of varmland at one VM with 20 s until their deadline, which are repeatable and run for 2 s.
@@ -54,6 +57,28 @@
 	},
 }
 
+// TestAppendThroughPeer guards that a VM that cannot reach the platform, but a peer that can, goes on claiming ids and changing the
+// configuration.
+func TestAppendThroughPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		violations := run(t, 3, 1, func(w *world) {
+			v := w.vm(0)
+			w.cutPlatform(v.caller.Name, 1)
+			time.Sleep(20 * time.Second)
+			for range 5 {
+				r := w.newRequest(v, kindChosen, "quotes", keyName(0), 10)
+				resp := v.Handle(t.Context(), r.request(5*time.Second))
+				assert.Equal(t, errkind.Done, resp.Outcome, resp.Message)
+			}
+			w.withdrawAt(op{A: 0, B: 0})
+			time.Sleep(5 * time.Second)
+			assert.True(t, w.truth.Config().Keys[keyName(0)].Withdrawn)
+			w.cutPlatform(v.caller.Name, -1)
+		})
+		assert.Empty(t, violations)
+	})
+}
+
 // TestRegressions guards against each fault that a scenario has found.
 func TestRegressions(t *testing.T) {
 	for name, c := range regressions {
--- a/logclient/events.go
+++ b/logclient/events.go
@@ -6,6 +6,7 @@
 // The events of this package.
 const (
 	EventAppended        Event = "appended"         // an append was answered
+	EventAppendedByPeer  Event = "appended_by_peer" // an append was made by a peer
 	EventAppendFailed    Event = "append_failed"    // an append failed or timed out and is repeated
 	EventAppendUnneeded  Event = "append_unneeded"  // a batch was folded before its append was answered
 	EventBatchAbandoned  Event = "batch_abandoned"  // nobody waits for a batch any more
--- a/logclient/writer.go
+++ b/logclient/writer.go
@@ -27,6 +27,9 @@
 	MaxSubmissionBytes = 8 << 20
 )
 
+// byPeerPeriod is how long a peer that has appended is asked before the platform.
+const byPeerPeriod = 10 * time.Second
+
 var defaultAppendBackoff = Backoff{Min: 50 * time.Millisecond, Max: 2 * time.Second}
 
 // WriterOptions are the settings of a Writer.
@@ -35,6 +38,8 @@
 	Store *fleet.Store
 	// Incarnation is the writer's name in the batches. It must never have been used by another process.
 	Incarnation string
+	// Fallback is tried after an append that failed. It may be nil.
+	Fallback AppendFallback
 	// The defaults of the following are the constants above.
 	Interval         time.Duration
 	AppendTimeout    time.Duration
@@ -71,6 +76,11 @@
 	return o
 }
 
+// AppendFallback appends a record through another VM. As with Log.Append, an error does not tell whether it was appended.
+type AppendFallback interface {
+	Append(ctx context.Context, data []byte) (offset uint64, err error)
+}
+
 // Writer appends the commands of one incarnation. It has one append in flight and repeats a batch with the same sequence
 // number and content until the fold shows it, so that a lost answer cannot lose or repeat a command.
 type Writer struct {
@@ -79,6 +89,8 @@
 	inFlight *inFlight
 	seq      uint64    // of the last batch
 	last     time.Time // start of the last append
+	// byPeerUntil is until when a peer is asked before the platform.
+	byPeerUntil time.Time
 }
 
 var _ Submitter = (*Writer)(nil)
@@ -186,6 +198,31 @@
 
 // attempt appends once. It reports true if the record is known to be in the log.
 func (w *Writer) attempt(ctx context.Context, data []byte, resolved <-chan struct{}) bool {
+	peerFirst := time.Now().Before(w.byPeerUntil)
+	if peerFirst && w.attemptByPeer(ctx, data, resolved) {
+		return true
+	}
+	if w.attemptBy(ctx, w.options.Log, data, resolved) {
+		return true
+	}
+	return !peerFirst && w.attemptByPeer(ctx, data, resolved)
+}
+
+// attemptByPeer appends through a peer. While that works the platform is asked only now and then, because each append that it does
+// not answer costs its whole timeout.
+func (w *Writer) attemptByPeer(ctx context.Context, data []byte, resolved <-chan struct{}) bool {
+	if w.options.Fallback == nil || ctx.Err() != nil || !w.attemptBy(ctx, w.options.Fallback, data, resolved) {
+		w.byPeerUntil = time.Time{}
+		return false
+	}
+	w.options.Count(EventAppendedByPeer)
+	if now := time.Now(); !now.Before(w.byPeerUntil) {
+		w.byPeerUntil = now.Add(byPeerPeriod)
+	}
+	return true
+}
+
+func (w *Writer) attemptBy(ctx context.Context, log AppendFallback, data []byte, resolved <-chan struct{}) bool {
 	ctx, cancel := context.WithTimeout(ctx, w.options.AppendTimeout)
 	defer cancel()
 	stop := make(chan struct{})
@@ -198,7 +235,7 @@
 		}
 	}()
 	w.last = time.Now()
-	_, err := w.options.Log.Append(ctx, data)
+	_, err := log.Append(ctx, data)
 	switch {
 	case err == nil:
 		w.options.Count(EventAppended)
--- a/peer/client.go
+++ b/peer/client.go
@@ -85,6 +85,11 @@
 	return call[SnapshotReply](ctx, c, "Snapshot", SnapshotArgs{}, max(c.timeout, DefaultSnapshotTimeout))
 }
 
+// Append has the peer append a record to the log. After an error the record may have been appended.
+func (c *Client) Append(ctx context.Context, args AppendArgs) (AppendReply, error) {
+	return call[AppendReply](ctx, c, "Append", args, c.timeout)
+}
+
 // Forward hands a request to the VM that issued its id and waits for the outcome. After an error of kind issuer_unreachable
 // the request may have run.
 func (c *Client) Forward(ctx context.Context, args ForwardArgs) (ResultReply, error) {
@@ -113,7 +118,7 @@
 	case <-ctx.Done():
 		return none, errkind.New(errkind.IssuerUnreachable, "%s of %s: %w", method, c.address, ctx.Err())
 	case <-timer.C:
-		if method != "Forward" { // a slow request says nothing about the connection
+		if method != "Forward" && method != "Append" { // a slow request or platform says nothing about the connection
 			c.drop(conn)
 		}
 		return none, errkind.New(errkind.IssuerUnreachable, "%s of %s: no answer within %s", method, c.address, timeout)
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -57,7 +57,10 @@
 	closed  bool
 }
 
-var _ logclient.Fallback = (*Exchange)(nil)
+var (
+	_ logclient.Fallback       = (*Exchange)(nil)
+	_ logclient.AppendFallback = (*Exchange)(nil)
+)
 
 // NewExchange returns an exchange that has heard nothing.
 func NewExchange(o ExchangeOptions) *Exchange {
@@ -234,6 +237,20 @@
 	return logclient.Fetched{}, nil
 }
 
+// Append has the peer that read the log last append a record.
+func (e *Exchange) Append(ctx context.Context, data []byte) (uint64, error) {
+	now := time.Now()
+	readers := slices.DeleteFunc(e.Statuses(), func(p PeerStatus) bool { return !p.LogReadable || now.Sub(p.AskedAt) > askablePeriod })
+	if len(readers) == 0 {
+		return 0, errkind.New(errkind.LogUnavailable, "no peer can reach the platform")
+	}
+	nearest := slices.MaxFunc(readers, func(a, b PeerStatus) int {
+		return a.AskedAt.Add(-a.ReadAge).Compare(b.AskedAt.Add(-b.ReadAge))
+	})
+	reply, err := e.Client(nearest.Address).Append(ctx, AppendArgs{Data: data})
+	return reply.Offset, err
+}
+
 // ahead returns the peers that answered lately and have the record at from, highest offset first.
 func (e *Exchange) ahead(from uint64) []PeerStatus {
 	now := time.Now()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -54,6 +54,13 @@
 	State  []byte
 }
 
+// AppendArgs is a record that the sender cannot append by itself. It is a batch with the sender's sequence number, so it has its
+// effect once however often it is appended.
+type AppendArgs struct{ Data []byte }
+
+// AppendReply has the offset of the record.
+type AppendReply struct{ Offset uint64 }
+
 // ForwardArgs is a request for the entry VM that issued its id. The sender has authenticated the team.
 type ForwardArgs struct {
 	Queue      string
--- a/peer/server.go
+++ b/peer/server.go
@@ -21,6 +21,8 @@
 	Heartbeat(ctx context.Context, from Status) (Status, error)
 	Records(ctx context.Context, args RecordsArgs) (RecordsReply, error)
 	Snapshot(ctx context.Context, args SnapshotArgs) (SnapshotReply, error)
+	// Append appends a record to the log for a peer that cannot reach the platform.
+	Append(ctx context.Context, args AppendArgs) (AppendReply, error)
 	// Forward runs a request whose id this VM issued. ctx ends with the request's time left, too.
 	Forward(ctx context.Context, args ForwardArgs) (ResultReply, error)
 	Result(ctx context.Context, args ResultArgs) (ResultReply, error)
@@ -173,6 +175,13 @@
 	return answer(reply)(s.handler.Snapshot(s.ctx, args))
 }
 
+// Append appends a record for a peer.
+func (s *service) Append(args AppendArgs, reply *AppendReply) error {
+	ctx, cancel := context.WithTimeout(s.ctx, DefaultTimeout)
+	defer cancel()
+	return answer(reply)(s.handler.Append(ctx, args))
+}
+
 // Forward runs a request whose id this VM issued.
 func (s *service) Forward(args ForwardArgs, reply *ResultReply) error {
 	ctx, cancel := context.WithTimeout(s.ctx, args.TimeLeft)
@@ -197,10 +206,18 @@
 	}
 }
 
-// LogSource answers the calls for records and snapshots from a VM's own follower and store. A Handler embeds it.
+// LogSource answers the calls for records and snapshots from a VM's own follower and store, and appends to the log for peers. A
+// Handler embeds it.
 type LogSource struct {
 	Follower *logclient.Follower
 	Store    *fleet.Store
+	Log      logclient.Log
+}
+
+// Append appends a record for a peer. Each peer has one append in flight, so there are at most as many calls as peers.
+func (l LogSource) Append(ctx context.Context, args AppendArgs) (AppendReply, error) {
+	offset, err := l.Log.Append(ctx, args.Data)
+	return AppendReply{Offset: offset}, errkind.Wrap(errkind.LogUnavailable, err)
 }
 
 // maxRecords bounds the records of one answer.
