Add a scenario of a holder that dies with long tasks

It shows that the oracle sees a server that does not honour the end of a lease: with the stand-in's watchLease not stopping tasks, up to 9 tasks of a team ran with a limit of 6. Drawn scenarios did not see it in 150 checks.

--- a/internal/fleettest/regress_test.go
+++ b/internal/fleettest/regress_test.go
@@ -47,6 +47,12 @@
 			{"withdraw", 1, 3, 0, 0, 20 * time.Second, false},
 		},
 	},
+	"holder killed with long tasks": {
+		"tasks outlive the lease of a holder that died, while others have got its grants", append([]op{
+			{"burst", 0, 6, 16, 0, 3 * time.Second, false},
+			{"kill", 0, 0, 0, time.Second, 18 * time.Second, false},
+		}, slices.Repeat([]op{{"burst", 1, 3, 36, 0, time.Second, false}}, 10)...),
+	},
 	"start delayed in the network": {
 		"a start that was sent before the key was withdrawn arrives as late as its lease allows", []op{
 			{"send", 0, 3, 0, time.Minute, time.Second, false},
