--- a/daemon/engine.go
+++ b/daemon/engine.go
@@ -97,8 +97,12 @@
 	if err != nil {
 		return nil, err
 	}
+	log, err := kernel.Get[*platform](l, serviceLog)
+	if err != nil {
+		return nil, err
+	}
 	return peer.Serve(d.listeners.peer, &peerHandler{
-		LogSource: peer.LogSource{Follower: f, Store: d.store},
+		LogSource: peer.LogSource{Follower: f, Store: d.store, Log: log},
 		engine:    e,
 		codec:     peer.NewLoadCodec(d.store.Config),
 		pacer:     peer.NewLoadPacer(),
