Resolve a daemon's needs in one line each, and exempt VMs that are gone from an outage for all

Cause 1: the same four lines stood 20 times in package daemon. Cause 2: a crashed entry VM stayed a silent member for ever while the log was down, so nobody saw an outage for all and keyed work was refused everywhere; the engine knew how to leave out VMs that the platform's list calls gone, but the daemon never told it. A VM counts as gone only after 5 s of silence, because the list lags.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -145,7 +145,7 @@
 		{Name: serviceStore, New: func(kernel.Lookup) (any, error) { return d.store, nil }},
 		{Name: serviceLog, New: d.newLog},
 		{Name: serviceBackend, New: d.newBackend},
-		{Name: servicePeers, Needs: []string{serviceStore}, New: d.newPeers},
+		{Name: servicePeers, Needs: []string{serviceStore, serviceLog}, New: d.newPeers},
 		{Name: serviceFollower, Needs: []string{serviceMetrics, serviceStore, serviceLog, servicePeers}, New: d.newFollower},
 		{Name: serviceWriter, Needs: []string{serviceMetrics, serviceStore, serviceLog, serviceFollower, servicePeers}, New: d.newWriter},
 		{Name: serviceSnapshots, Needs: []string{serviceMetrics, serviceStore, serviceFollower, serviceWriter}, New: d.newSnapshotter},
@@ -167,8 +167,23 @@
 			Needs: []string{serviceMetrics, serviceStore, serviceWriter, serviceEngine, serviceFollower, servicePeers},
 			New:   d.newOperators,
 		},
-		{Name: serviceDrain, Needs: []string{serviceEngine, serviceCallers, serviceOperators, servicePeerRPC, serviceReconcile, serviceSnapshots, serviceWatch}, New: d.newDrain},
+		{
+			Name: serviceDrain,
+			Needs: []string{
+				serviceEngine, serviceCallers, serviceOperators, servicePeerRPC, serviceReconcile, serviceSnapshots, serviceWatch,
+			},
+			New: d.newDrain,
+		},
+	}
+}
+
+// need returns a service that is among the declared needs. Anything else is a fault of this package, which the first start shows.
+func need[T any](l kernel.Lookup, name string) T {
+	value, err := kernel.Get[T](l, name)
+	if err != nil {
+		panic(err)
 	}
+	return value
 }
 
 func (d *daemon) newLog(kernel.Lookup) (any, error) {
@@ -184,12 +199,12 @@
 }
 
 // newPeers builds the exchange of heartbeats. The engine, which knows the VM's own status, is built later and told by newEngine.
-func (d *daemon) newPeers(kernel.Lookup) (any, error) {
+func (d *daemon) newPeers(l kernel.Lookup) (any, error) {
 	seeds := make([]string, 0, len(d.Settings.Peers))
 	for _, p := range d.Settings.Peers {
 		seeds = append(seeds, p.String())
 	}
-	p := &peers{}
+	p := &peers{platform: need[*platform](l, serviceLog)}
 	p.Exchange = peer.NewExchange(peer.ExchangeOptions{
 		Store: d.store, Address: d.addresses().Peer, Seeds: seeds, Status: p.ownStatus,
 	})
@@ -197,54 +212,27 @@
 }
 
 func (d *daemon) newFollower(l kernel.Lookup) (any, error) {
-	platform, err := kernel.Get[*platform](l, serviceLog)
-	if err != nil {
-		return nil, err
-	}
-	p, err := kernel.Get[*peers](l, servicePeers)
-	if err != nil {
-		return nil, err
-	}
-	m, err := kernel.Get[*metrics.Metrics](l, serviceMetrics)
-	if err != nil {
-		return nil, err
-	}
+	platform := need[*platform](l, serviceLog)
+	p := need[*peers](l, servicePeers)
+	m := need[*metrics.Metrics](l, serviceMetrics)
 	return logclient.NewFollower(logclient.FollowerOptions{
 		Log: platform, Store: d.store, Fallback: p.Exchange, Count: logging(d.Logger, m),
 	}), nil
 }
 
 func (d *daemon) newWriter(l kernel.Lookup) (any, error) {
-	platform, err := kernel.Get[*platform](l, serviceLog)
-	if err != nil {
-		return nil, err
-	}
-	p, err := kernel.Get[*peers](l, servicePeers)
-	if err != nil {
-		return nil, err
-	}
-	m, err := kernel.Get[*metrics.Metrics](l, serviceMetrics)
-	if err != nil {
-		return nil, err
-	}
+	platform := need[*platform](l, serviceLog)
+	p := need[*peers](l, servicePeers)
+	m := need[*metrics.Metrics](l, serviceMetrics)
 	return logclient.NewWriter(logclient.WriterOptions{
 		Log: platform, Store: d.store, Incarnation: d.incarnation, Fallback: p.Exchange, Count: logging(d.Logger, m),
 	}), nil
 }
 
 func (d *daemon) newSnapshotter(l kernel.Lookup) (any, error) {
-	w, err := kernel.Get[*logclient.Writer](l, serviceWriter)
-	if err != nil {
-		return nil, err
-	}
-	f, err := kernel.Get[*logclient.Follower](l, serviceFollower)
-	if err != nil {
-		return nil, err
-	}
-	m, err := kernel.Get[*metrics.Metrics](l, serviceMetrics)
-	if err != nil {
-		return nil, err
-	}
+	w := need[*logclient.Writer](l, serviceWriter)
+	f := need[*logclient.Follower](l, serviceFollower)
+	m := need[*metrics.Metrics](l, serviceMetrics)
 	return logclient.NewSnapshotter(logclient.SnapshotterOptions{
 		Store: d.store, Submitter: w, Incarnation: d.incarnation, First: f.First, Count: logging(d.Logger, m),
 	}), nil
@@ -266,10 +254,7 @@
 }
 
 func (d *daemon) newCallers(l kernel.Lookup) (any, error) {
-	e, err := kernel.Get[*entry.Engine](l, serviceEngine)
-	if err != nil {
-		return nil, err
-	}
+	e := need[*entry.Engine](l, serviceEngine)
 	o := callerapi.DefaultOptions()
 	o.MaxBody = d.Settings.Limits.MaxBodyBytes
 	return &httpService{
@@ -280,42 +265,33 @@
 }
 
 func (d *daemon) newOperators(l kernel.Lookup) (any, error) {
-	parts, err := d.operatorParts(l)
-	if err != nil {
-		return nil, err
-	}
+	m := need[*metrics.Metrics](l, serviceMetrics)
+	v := d.newView(l)
+	m.Observe(v.gauges())
 	api := operatorapi.New(operatorapi.Options{
 		Store:       d.store,
-		Submitter:   parts.writer,
-		Status:      parts.view,
-		Withdrawals: parts.view.engine,
+		Submitter:   need[*logclient.Writer](l, serviceWriter),
+		Status:      v,
+		Withdrawals: v.engine,
 		TokenSHA256: d.Settings.OperatorTokenSHA256,
-		Refused:     parts.metrics.Refused,
+		Refused:     m.Refused,
 		Logger:      d.Logger,
 	})
 	mux := http.NewServeMux()
-	mux.Handle("/metrics", parts.metrics.Handler())
+	mux.Handle("/metrics", m.Handler())
 	mux.Handle("/", api)
-	return &httpService{listener: netutil.LimitListener(d.listeners.operator, d.Settings.Limits.MaxOperatorConnections), handler: mux, grace: operatorapi.CloseGrace}, nil
+	return &httpService{
+		listener: netutil.LimitListener(d.listeners.operator, d.Settings.Limits.MaxOperatorConnections),
+		handler:  mux,
+		grace:    operatorapi.CloseGrace,
+	}, nil
 }
 
 func (d *daemon) newReconciler(l kernel.Lookup) (any, error) {
-	w, err := kernel.Get[*logclient.Writer](l, serviceWriter)
-	if err != nil {
-		return nil, err
-	}
-	p, err := kernel.Get[*platform](l, serviceLog)
-	if err != nil {
-		return nil, err
-	}
-	b, err := kernel.Get[*backend.Client](l, serviceBackend)
-	if err != nil {
-		return nil, err
-	}
-	view, err := d.newView(l)
-	if err != nil {
-		return nil, err
-	}
+	w := need[*logclient.Writer](l, serviceWriter)
+	p := need[*platform](l, serviceLog)
+	b := need[*backend.Client](l, serviceBackend)
+	view := d.newView(l)
 	return reconcile.New(reconcile.Options{
 		Store: d.store, Submit: w, Servers: b, Platform: p, View: view,
 		Incarnation: d.incarnation, DataCentre: d.Settings.DataCentre, Logger: d.Logger,
--- a/daemon/engine.go
+++ b/daemon/engine.go
@@ -16,26 +16,11 @@
 )
 
 func (d *daemon) newEngine(l kernel.Lookup) (any, error) {
-	w, err := kernel.Get[*logclient.Writer](l, serviceWriter)
-	if err != nil {
-		return nil, err
-	}
-	f, err := kernel.Get[*logclient.Follower](l, serviceFollower)
-	if err != nil {
-		return nil, err
-	}
-	p, err := kernel.Get[*peers](l, servicePeers)
-	if err != nil {
-		return nil, err
-	}
-	b, err := kernel.Get[*backend.Client](l, serviceBackend)
-	if err != nil {
-		return nil, err
-	}
-	m, err := kernel.Get[*metrics.Metrics](l, serviceMetrics)
-	if err != nil {
-		return nil, err
-	}
+	w := need[*logclient.Writer](l, serviceWriter)
+	f := need[*logclient.Follower](l, serviceFollower)
+	p := need[*peers](l, servicePeers)
+	b := need[*backend.Client](l, serviceBackend)
+	m := need[*metrics.Metrics](l, serviceMetrics)
 	engine := entry.New(d.engineOptions(w, f, p, b, m))
 	p.engine.Store(engine)
 	return engine, nil
@@ -89,18 +74,9 @@
 }
 
 func (d *daemon) newPeerServer(l kernel.Lookup) (any, error) {
-	e, err := kernel.Get[*entry.Engine](l, serviceEngine)
-	if err != nil {
-		return nil, err
-	}
-	f, err := kernel.Get[*logclient.Follower](l, serviceFollower)
-	if err != nil {
-		return nil, err
-	}
-	log, err := kernel.Get[*platform](l, serviceLog)
-	if err != nil {
-		return nil, err
-	}
+	e := need[*entry.Engine](l, serviceEngine)
+	f := need[*logclient.Follower](l, serviceFollower)
+	log := need[*platform](l, serviceLog)
 	return peer.Serve(d.listeners.peer, &peerHandler{
 		LogSource: peer.LogSource{Follower: f, Store: d.store, Log: log},
 		engine:    e,
@@ -116,10 +92,7 @@
 }
 
 func (d *daemon) newDrain(l kernel.Lookup) (any, error) {
-	e, err := kernel.Get[*entry.Engine](l, serviceEngine)
-	if err != nil {
-		return nil, err
-	}
+	e := need[*entry.Engine](l, serviceEngine)
 	return &drain{daemon: d, engine: e}, nil
 }
 
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -17,9 +17,10 @@
 	"example.org/comfreyrouter/peer"
 )
 
-// platform is the platform's client, with the list of VMs as the reconciler reads it.
+// platform is the platform's client, with the list of VMs as the reconciler reads it. The last list is kept.
 type platform struct {
 	*logclient.HTTP
+	last atomic.Pointer[map[string]string]
 }
 
 func newPlatform(h *logclient.HTTP) *platform { return &platform{HTTP: h} }
@@ -34,13 +35,21 @@
 	for _, vm := range list {
 		out[vm.Name] = string(vm.State)
 	}
+	p.last.Store(&out)
 	return out, nil
 }
 
+// gone reports whether the last list that could be read calls a VM gone.
+func (p *platform) gone(vm string) bool {
+	last := p.last.Load()
+	return last != nil && (*last)[vm] == string(logclient.VMGone)
+}
+
 // peers is the exchange of heartbeats as the engine uses it.
 type peers struct {
 	*peer.Exchange
-	engine atomic.Pointer[entry.Engine]
+	platform *platform
+	engine   atomic.Pointer[entry.Engine]
 }
 
 func (p *peers) ownStatus() peer.Status {
@@ -50,12 +59,17 @@
 	return peer.Status{}
 }
 
+// goneSilence is how long a peer must be silent before the platform's list is believed that its VM is gone. The list lags, and may still mean
+// the predecessor of a VM that answers.
+const goneSilence = 5 * time.Second
+
 // Statuses returns the last answer of each peer.
 func (p *peers) Statuses() []entry.PeerStatus {
 	last := p.Exchange.Statuses()
 	out := make([]entry.PeerStatus, 0, len(last))
 	for _, s := range last {
-		out = append(out, entry.PeerStatus{Status: s.Status, AskedAt: s.AskedAt})
+		gone := time.Since(s.AskedAt) > goneSilence && p.platform.gone(s.VM)
+		out = append(out, entry.PeerStatus{Status: s.Status, AskedAt: s.AskedAt, Gone: gone})
 	}
 	return out
 }
@@ -78,20 +92,11 @@
 	peers    *peers
 }
 
-func (d *daemon) newView(l kernel.Lookup) (*view, error) {
-	e, err := kernel.Get[*entry.Engine](l, serviceEngine)
-	if err != nil {
-		return nil, err
-	}
-	f, err := kernel.Get[*logclient.Follower](l, serviceFollower)
-	if err != nil {
-		return nil, err
-	}
-	p, err := kernel.Get[*peers](l, servicePeers)
-	if err != nil {
-		return nil, err
-	}
-	return &view{daemon: d, engine: e, follower: f, peers: p}, nil
+func (d *daemon) newView(l kernel.Lookup) *view {
+	e := need[*entry.Engine](l, serviceEngine)
+	f := need[*logclient.Follower](l, serviceFollower)
+	p := need[*peers](l, servicePeers)
+	return &view{daemon: d, engine: e, follower: f, peers: p}
 }
 
 // Confirmed reports whether the VM itself read the log within the freshness bound.
@@ -130,30 +135,6 @@
 	return out
 }
 
-// operatorParts are the parts of the operators' interface.
-type operatorParts struct {
-	writer  *logclient.Writer
-	metrics *metrics.Metrics
-	view    *view
-}
-
-func (d *daemon) operatorParts(l kernel.Lookup) (operatorParts, error) {
-	w, err := kernel.Get[*logclient.Writer](l, serviceWriter)
-	if err != nil {
-		return operatorParts{}, err
-	}
-	m, err := kernel.Get[*metrics.Metrics](l, serviceMetrics)
-	if err != nil {
-		return operatorParts{}, err
-	}
-	v, err := d.newView(l)
-	if err != nil {
-		return operatorParts{}, err
-	}
-	m.Observe(v.gauges())
-	return operatorParts{writer: w, metrics: m, view: v}, nil
-}
-
 func (v *view) gauges() metrics.Gauges {
 	store := v.daemon.store
 	return metrics.Gauges{
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -28,14 +28,8 @@
 }
 
 func (d *daemon) newWatch(l kernel.Lookup) (any, error) {
-	e, err := kernel.Get[*entry.Engine](l, serviceEngine)
-	if err != nil {
-		return nil, err
-	}
-	f, err := kernel.Get[*logclient.Follower](l, serviceFollower)
-	if err != nil {
-		return nil, err
-	}
+	e := need[*entry.Engine](l, serviceEngine)
+	f := need[*logclient.Follower](l, serviceFollower)
 	return &watch{logger: d.Logger, store: d.store, engine: e, follower: f, readable: true, fresh: true}, nil
 }
 
