Mark full servers, probe when no slot looks free, and probe after an ejection

Cause: the engine treated a refusal for want of a slot like any other one. The server rested for 100 ms or more, and the request waited for 10 ms or more although other servers had free slots. When a pool looked full, the engine waited for its own tasks or for the next tick. After an ejection any number of tasks went to the server at once.

Changed: the client tells a busy refusal apart (ErrBusy). It marks the server as full for 50 ms, and the request goes to another server without a pause. While no slot looks free, one waiting call at a time probes a server, with growing pauses. The candidates carry Health.Out, failures in a row and the marks. The first task after an ejection is the only one until it ends; Health.Inconclusive frees the probe if that task was refused or stopped. A request that fails on a second server takes its first failure back, once. Requests that find no server return to their place in the queue.

Ruled out: waking a pool whose requests wait for their limits; the tick does.

--- a/backend/client.go
+++ b/backend/client.go
@@ -73,12 +73,18 @@
 // Error implements error.
 func (c *Checkpoint) Error() string { return "the task was checkpointed" }
 
-// ReasonBoot is the reason of a refusal for another boot id.
-const ReasonBoot = "boot"
+// Reasons of a refusal to which the engine has an answer of its own: another boot id, and no free slot.
+const (
+	ReasonBoot = "boot"
+	ReasonBusy = "busy"
+)
 
 // ErrOtherBoot is the cause of a refusal by a server that has restarted since its clock was read.
 var ErrOtherBoot = errors.New("the server has restarted")
 
+// ErrBusy is the cause of a refusal by a server without a free slot.
+var ErrBusy = errors.New("the server has no free slot")
+
 // attempt notes what is known of one attempt to send a task.
 type attempt struct {
 	conn atomic.Pointer[net.Conn]
@@ -183,6 +189,8 @@
 		return nil, &Checkpoint{State: body}
 	case resp.Header.Get(HeaderStarted) == "false" && resp.Header.Get(HeaderReason) == ReasonBoot:
 		return nil, errkind.Wrap(errkind.BackendRefused, fmt.Errorf("%s: %w", address, ErrOtherBoot))
+	case resp.Header.Get(HeaderStarted) == "false" && resp.Header.Get(HeaderReason) == ReasonBusy:
+		return nil, errkind.Wrap(errkind.BackendRefused, fmt.Errorf("%s: %w", address, ErrBusy))
 	case resp.Header.Get(HeaderStarted) == "false":
 		return nil, errkind.New(errkind.BackendRefused, "%s refused: %s", address, resp.Header.Get(HeaderReason))
 	}
--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -77,7 +77,8 @@
 		c.exclude = map[string]bool{a.server: true}
 	}
 	e.options.Counters.Retried(k)
-	if !routing.Started(k) {
+	// A full server is marked, and the call waits in its queue for another one.
+	if !routing.Started(k) && !errors.Is(err, backend.ErrBusy) {
 		sleep(c.ctx, refusalBackoff(c.refusals))
 	}
 	return true
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -63,6 +63,7 @@
 	}
 	if a := <-c.assigned; a.task != nil {
 		c.onServer = false
+		e.health.Inconclusive(a.server)
 		e.endLocked(a.task)
 	}
 	return assignment{}, err
@@ -136,6 +137,7 @@
 	if spare := e.lendableLocked(pool, now); len(spare) > 0 {
 		e.fillLocked(q, spare, lentView(e.fairViewLocked(pool, spare, now)), now)
 	}
+	e.probeLocked(pool, q, now)
 }
 
 // fillLocked starts waiting calls on servers. Calls that find no server go back to their queue.
@@ -158,12 +160,13 @@
 			continue
 		}
 		e.startLocked(c, servers[i].Name, now)
+		c.probe = false
 		servers[i].Local++
 		view.Free--
 		view.Running[c.team]++
 	}
 	for _, item := range aside {
-		q.Push(item)
+		q.Return(item)
 	}
 }
 
@@ -223,6 +226,7 @@
 	t.leaseEnd = e.holder.TaskEnd(c.team, e.holder.Running(c.team)-1, now)
 	e.tasks[t.id] = t
 	e.local[name]++
+	e.health.Started(name, now)
 	if e.running[t.pool] == nil {
 		e.running[t.pool] = map[string]int{}
 	}
@@ -330,17 +334,21 @@
 	}
 	switch {
 	case checkpointed:
+		e.health.Inconclusive(a.server)
 	case k == "":
 		e.runTimes.Observe(c.req.Queue, c.team, runTime)
 		e.reportLocked(a.server, true, now)
 	case k == errkind.BackendRefused:
-		e.refusedLocked(a.server, now)
+		e.refusedLocked(a.server, err, now)
 		if errors.Is(err, backend.ErrOtherBoot) {
 			e.forgetClockLocked(a.server, a.send.BootID)
 		}
 	case c.ctx.Err() == nil && !a.task.stopping:
-		e.reportLocked(a.server, false, now)
+		e.failedLocked(c, a.server, now)
+	default:
+		e.health.Inconclusive(a.server)
 	}
+	e.slotKnownLocked(c, a.server, k != errkind.BackendRefused)
 	if k == "" || k == errkind.BackendRefused || k == errkind.BackendFailed {
 		e.endLocked(a.task)
 		return
@@ -352,10 +360,3 @@
 		e.endLocked(a.task)
 	})
 }
-
-// reportLocked notes the end of a task for the health of its server, among the servers of the server's own pool.
-func (e *Engine) reportLocked(name string, ok bool, now time.Time) {
-	if s, known := e.servers[name]; known {
-		e.health.Report(name, ok, e.byPool[s.pool], now)
-	}
-}
--- a/entry/engine.go
+++ b/entry/engine.go
@@ -127,6 +127,9 @@
 	issuer   *claims.Issuer
 	results  *claims.Results
 	health   *routing.Health
+	full     *routing.FullMarks
+	probers  map[string]*routing.Prober // by pool
+	waking   map[string]bool            // pools for which a later dispatch is due
 	budget   *routing.RetryBudget
 	runTimes *routing.RunTimes
 	rnd      *rand.Rand
@@ -156,7 +159,7 @@
 	remoteRunning map[string]map[string]int
 	withdrawn     map[string]bool
 	heard         map[string]keys.PeerView // what others said in their heartbeats, by incarnation
-	freshUntil    time.Time // until when keys may be accepted on this VM's view
+	freshUntil    time.Time                // until when keys may be accepted on this VM's view
 }
 
 // New returns an engine. Run drives it.
@@ -164,11 +167,13 @@
 	base, stop := context.WithCancel(context.Background())
 	return &Engine{
 		options: o, base: base, stop: stop,
-		holder:   limits.NewHolder(o.Limits),
-		watcher:  limits.NewWatcher(o.Limits),
-		issuer:   claims.NewIssuer(o.Incarnation),
-		results:  claims.NewResults(o.ResultBytes),
-		health:   routing.NewHealth(o.Health),
+		holder:  limits.NewHolder(o.Limits),
+		watcher: limits.NewWatcher(o.Limits),
+		issuer:  claims.NewIssuer(o.Incarnation),
+		results: claims.NewResults(o.ResultBytes),
+		health:  routing.NewHealth(o.Health),
+		full:    routing.NewFullMarks(routing.FullHold),
+		probers: map[string]*routing.Prober{}, waking: map[string]bool{},
 		budget:   routing.NewRetryBudget(retryPercent, retryBurst),
 		runTimes: routing.NewRunTimes(),
 		rnd:      rand.New(rand.NewPCG(o.Seed, 1)),
--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -209,9 +209,11 @@
 	peak    map[string]int
 	until   map[string]int64
 	stops   map[string]chan struct{}
-	deaf    bool     // stops get lost
-	boot    int      // number of restarts
-	used    []string // addresses, in order of starts
+	deaf    bool            // stops get lost
+	boot    int             // number of restarts
+	used    []string        // addresses, in order of starts
+	full    map[string]int  // refusals for want of a slot, by the addresses of full servers
+	bad     map[string]bool // addresses of servers that fail every task
 }
 
 func serverAddress(name string) string { return "10.0.0.1:" + name[1:] }
@@ -242,7 +244,18 @@
 		b.mu.Unlock()
 		return nil, errkind.New(errkind.BackendRefused, "lease")
 	}
+	if _, ok := b.full[address]; ok {
+		b.full[address]++
+		b.mu.Unlock()
+		return nil, errkind.Wrap(errkind.BackendRefused, backend.ErrBusy)
+	}
 	run := b.run
+	if b.bad[address] {
+		run = func(ctx context.Context, _ backend.Task) ([]byte, error) {
+			sleep(ctx, 50*time.Millisecond)
+			return nil, errkind.New(errkind.BackendFailed, "bad server")
+		}
+	}
 	stop := make(chan struct{})
 	b.stops[t.ID] = stop
 	b.until[t.ID] = t.LeaseUntil
--- a/entry/request.go
+++ b/entry/request.go
@@ -76,6 +76,9 @@
 	refusals  int // attempts refused before the start, in a row
 	lastErr   error
 	exclude   map[string]bool // the server that failed last
+	failedOn  string          // the server whose health has a failure of this call
+	retracted bool            // that failure was taken back
+	probe     bool            // the task was sent although no slot was free by the view; guarded by Engine.mu
 	assigned  chan assignment
 	item      fairshare.Item
 
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -80,20 +81,24 @@
 		}
 		byPool[vm.Pool] = append(byPool[vm.Pool], name)
 	}
+	known := map[string]bool{}
 	for name := range e.servers {
-		if _, ok := vms[name]; !ok {
+		_, known[name] = vms[name]
+		if !known[name] {
 			delete(e.servers, name)
 		}
 	}
 	for _, names := range byPool {
 		slices.Sort(names)
 	}
+	e.health.Keep(known)
 	e.byPool = byPool
 }
 
 // candidatesLocked returns the servers of a pool that may get work.
 func (e *Engine) candidatesLocked(pool string, now time.Time) []routing.Server {
 	var candidates []routing.Server
+	out := e.health.Out(e.byPool[pool], now)
 	for _, name := range e.byPool[pool] {
 		s := e.servers[name]
 		if !s.serving || s.draining || now.Sub(s.clock.receivedAt) > maxSampleAge || now.Before(s.coolUntil) || e.local[name] >= s.connections {
@@ -101,14 +106,21 @@
 		}
 		candidates = append(candidates, routing.Server{
 			Name: name, DataCentre: s.centre, Slots: s.slots,
-			Local: e.local[name], Remote: e.remoteLoad[name], Ejected: e.health.Ejected(name, now),
+			Local: e.local[name], Remote: e.remoteLoad[name], Ejected: out[name],
+			Full: e.full.Full(name, now), Failures: e.health.Failures(name),
 		})
 	}
 	return candidates
 }
 
-// refusedLocked keeps work away from a server that refused, and has it polled at once.
-func (e *Engine) refusedLocked(name string, now time.Time) {
+// refusedLocked keeps work away from a server that refused. A server without a free slot gets one with the end of any of its tasks, so
+// its mark is short; for another reason the server is polled at once and rests until its status says why.
+func (e *Engine) refusedLocked(name string, err error, now time.Time) {
+	e.health.Inconclusive(name)
+	if errors.Is(err, backend.ErrBusy) {
+		e.full.Refused(name, now)
+		return
+	}
 	s, ok := e.servers[name]
 	if !ok {
 		return
--- /dev/null
+++ b/entry/wiring_test.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"example.org/comfreyrouter/fleet"
+	"github.com/stretchr/testify/require"
+
+	"example.org/comfreyrouter/errkind"
+)
+
+func (b *fakeBackend) set(change func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	change()
+}
+
+func (b *fakeBackend) usedOf(address string) int {
+	count := 0
+	for _, used := range b.addresses() {
+		if used == address {
+			count++
+		}
+	}
+	return count
+}
+
+// again is a repeatable request.
+func again(body string) Request {
+	req := order(body)
+	req.Repeatable = true
+	return req
+}
+
+// TestFullServerIsNotAskedAgainAtOnce guards against requests that bounce off a full server although it has just refused one, and against
+// a pause for them while another server has free slots.
+func TestFullServerIsNotAskedAgainAtOnce(t *testing.T) {
+	withNodes(t, 100, func(t *testing.T, a, _ *node) {
+		s1 := serverAddress("s1")
+		expect(t, a.Handle(t.Context(), again("takes a grant")), "", errkind.Done)
+		a.backend.set(func() { a.backend.full = map[string]int{s1: 0} })
+		a.backend.setRun(takes(5 * time.Millisecond))
+		began := time.Now()
+		for range 100 {
+			sent := time.Now()
+			expect(t, a.Handle(t.Context(), again("task")), "", errkind.Done)
+			require.Equal(t, 5*time.Millisecond, time.Since(sent), "a refused request goes to the other server at once")
+		}
+		held := int(time.Since(began)/(50*time.Millisecond)) + 1
+		require.LessOrEqual(t, a.backend.full[s1], held, "one refusal for each mark of 50 ms")
+		a.backend.set(func() { a.backend.full = nil })
+		time.Sleep(60 * time.Millisecond)
+		for range 30 {
+			expect(t, a.Handle(t.Context(), again("task")), "", errkind.Done)
+		}
+		require.Positive(t, a.backend.usedOf(s1))
+	})
+}
+
+// TestFailingServerIsProbed guards against a server that fails every task getting work during its ejection, or many tasks at once after
+// it, and against it being left out for good once it works again.
+func TestFailingServerIsProbed(t *testing.T) {
+	withNodes(t, 100, func(t *testing.T, a, _ *node) {
+		s1 := serverAddress("s1")
+		a.addServer(t, "s3", 1)
+		a.backend.set(func() { a.backend.bad = map[string]bool{s1: true} })
+		burst := func() {
+			var callers sync.WaitGroup
+			for range 12 {
+				callers.Go(func() { a.Handle(t.Context(), again("task")) })
+			}
+			callers.Wait()
+		}
+		for a.backend.usedOf(s1) < 5 {
+			burst()
+		}
+		failed := a.backend.usedOf(s1)
+		for range 20 {
+			burst()
+		}
+		require.Equal(t, failed, a.backend.usedOf(s1), "no work during the ejection")
+		time.Sleep(11 * time.Second)
+		for range 10 {
+			burst()
+		}
+		require.Equal(t, failed+1, a.backend.usedOf(s1), "one probe after it")
+		a.backend.set(func() { a.backend.bad = nil })
+		time.Sleep(30 * time.Second)
+		for range 10 {
+			burst()
+		}
+		require.Greater(t, a.backend.usedOf(s1), failed+10)
+	})
+}
+
+// addServer declares another server with 8 slots.
+func (n *node) addServer(t *testing.T, name string, version uint64) {
+	t.Helper()
+	n.log.configure(version, fleet.Change{Server: &fleet.Object[fleet.BackendServer]{Name: name, Value: &fleet.BackendServer{
+		Address: serverAddress(name), DataCentre: "a", Rack: "r", Pool: "pricing", Slots: 8, Connections: 64,
+	}}})
+	require.EqualValues(t, version+1, n.store.Config().Version)
+	time.Sleep(10 * time.Second)
+}
--- a/routing/full.go
+++ b/routing/full.go
@@ -53,6 +53,9 @@
 // Allowed reports whether a probe may be sent now.
 func (p *Prober) Allowed(now time.Time) bool { return !now.Before(p.next) }
 
+// Next returns the time from which a probe may be sent.
+func (p *Prober) Next() time.Time { return p.next }
+
 // Sent notes that a probe was sent.
 func (p *Prober) Sent(now time.Time) { p.next = now.Add(p.wait) }
 
--- a/routing/health.go
+++ b/routing/health.go
@@ -106,6 +106,14 @@
 	}
 }
 
+// Inconclusive notes that a task ended without a verdict on its server: the server refused it before the start, or the task was
+// stopped. If it was the probe after an ejection, the next task may be the probe.
+func (h *Health) Inconclusive(server string) {
+	if s, ok := h.servers[server]; ok {
+		s.probeUntil = time.Time{}
+	}
+}
+
 // Retract takes back a failure that was reported for a server, because the same request failed on another server too: then the
 // request is the likelier cause. The failure on the other server is not to be reported.
 func (h *Health) Retract(server string) {
