Estimate start and run times from what ran, and refuse hopeless requests early

Cause: a request met an estimate only while requests of its team waited on the same VM, from this VM's own tasks. A request shorter than its learned run time was started and timed out as unknown. A VM with few of the slots overrated the delay.

Changed: admission gets StartDelay from the team's waiting requests on this VM and its peers, the mean learned run time, and the team's part of the pool's slots, with the spare pools' slots for urgent work. Doubt counts only refusals by the run time alone. Heartbeats do not tell the classes of waiting requests, so peers' requests count by this VM's own proportion of classes, and a request with none of its team ahead on its VM has no delay.

The fake backend server of the tests now refuses beyond its slots, as the real one does; before, a probe always succeeded there.

Measured: on the code before, TestHopelessRequestIsRefusedEarly saw request_timeout/unknown in place of deadline_too_close/not_run.

--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -18,8 +18,12 @@
 	if e.shuttingDown {
 		return errkind.New(errkind.ShuttingDown, "this entry VM is shutting down")
 	}
-	load := e.loadLocked(c)
-	if err := admission.Check(e.options.Admission, load, len(c.req.Body), time.Until(c.began.Add(c.req.TimeLeft))); err != nil {
+	load := e.loadLocked(c, time.Now())
+	left := time.Until(c.began.Add(c.req.TimeLeft))
+	if err := admission.Check(e.options.Admission, load, len(c.req.Body), left); err != nil {
+		if errkind.Of(err) == errkind.DeadlineTooClose && load.RunTime > left {
+			e.runTimes.Doubt(c.req.Queue, c.team)
+		}
 		return err
 	}
 	if len(e.flights) > 2*e.options.Admission.MaxWaiting+len(e.tasks) {
@@ -29,25 +33,6 @@
 	return nil
 }
 
-// loadLocked estimates the delay from learned run times only, and only while requests of the team wait: a wrong declared or learned
-// run time must never shut a queue for good.
-func (e *Engine) loadLocked(c *call) admission.Load {
-	load := admission.Load{WaitingBytes: e.waitingBytes}
-	q := e.queues[c.queue.Pool]
-	if q == nil {
-		return load
-	}
-	load.Waiting = q.Len()
-	ahead := q.Waiting(c.team)
-	if ahead == 0 {
-		return load
-	}
-	load.RunTime = e.runTimes.Estimate(c.req.Queue, c.team, 0)
-	parallel := max(1, e.running[c.queue.Pool][c.team])
-	load.StartDelay = time.Duration(ahead/parallel) * load.RunTime
-	return load
-}
-
 // retry decides about another attempt after err, and waits before it.
 func (e *Engine) retry(c *call, a assignment, err error) bool {
 	if e.resumes(c, err) {
--- a/entry/engine.go
+++ b/entry/engine.go
@@ -157,6 +157,7 @@
 
 	remoteLoad    map[string]int // peers' tasks by server
 	remoteRunning map[string]map[string]int
+	peerLoads     []peer.Status // of the peers whose numbers are new enough
 	withdrawn     map[string]bool
 	heard         map[string]keys.PeerView // what others said in their heartbeats, by incarnation
 	freshUntil    time.Time                // until when keys may be accepted on this VM's view
--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -153,6 +153,7 @@
 	for _, o := range n.reachable() {
 		o.mu.Lock()
 		st := peer.Status{Incarnation: o.options.Incarnation, DataCentre: o.options.DataCentre, PeerAddress: o.name}
+		o.addLoadLocked(&st)
 		o.mu.Unlock()
 		st.Offset = o.store.Offset()
 		st.LogReadable = o.Readable()
@@ -207,6 +208,7 @@
 	starts  map[string]int // by body
 	running map[string]int // by team
 	peak    map[string]int
+	busy    map[string]int // by address
 	until   map[string]int64
 	stops   map[string]chan struct{}
 	deaf    bool            // stops get lost
@@ -244,8 +246,11 @@
 		b.mu.Unlock()
 		return nil, errkind.New(errkind.BackendRefused, "lease")
 	}
-	if _, ok := b.full[address]; ok {
-		b.full[address]++
+	_, full := b.full[address]
+	if full || b.busy[address] >= testSlots {
+		if full {
+			b.full[address]++
+		}
 		b.mu.Unlock()
 		return nil, errkind.Wrap(errkind.BackendRefused, backend.ErrBusy)
 	}
@@ -262,6 +267,7 @@
 	b.starts[string(t.Body)]++
 	b.used = append(b.used, address)
 	b.running[t.Team]++
+	b.busy[address]++
 	b.peak[t.Team] = max(b.peak[t.Team], b.running[t.Team])
 	b.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
@@ -269,12 +275,13 @@
 	go b.watch(ctx, t.ID, stop, cancel)
 	body, err := run(ctx, t)
 	if errkind.Of(err) == errkind.BackendLost {
-		go b.runOn(t)
+		go b.runOn(address, t)
 		return nil, err
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.running[t.Team]--
+	b.busy[address]--
 	if errkind.Of(err) == errkind.BackendRefused {
 		b.starts[string(t.Body)]--
 	}
@@ -282,7 +289,7 @@
 }
 
 // runOn lets a task whose connection broke run until its lease ends.
-func (b *fakeBackend) runOn(t backend.Task) {
+func (b *fakeBackend) runOn(address string, t backend.Task) {
 	b.mu.Lock()
 	left := b.until[t.ID] - b.clock()
 	b.mu.Unlock()
@@ -290,6 +297,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.running[t.Team]--
+	b.busy[address]--
 }
 
 // watch ends a task that is stopped or whose lease has run out.
@@ -387,6 +395,9 @@
 
 const testKey = "glass"
 
+// testSlots is the number of slots of each server.
+const testSlots = 8
+
 func testChanges(limit int) []fleet.Change {
 	changes := []fleet.Change{
 		{Centre: &fleet.Object[fleet.DataCentre]{Name: "a", Value: &fleet.DataCentre{MaxUnavailable: 2}}},
@@ -404,7 +415,7 @@
 	}
 	for _, name := range []string{"s1", "s2"} {
 		changes = append(changes, fleet.Change{Server: &fleet.Object[fleet.BackendServer]{
-			Name: name, Value: &fleet.BackendServer{Address: serverAddress(name), DataCentre: "a", Rack: "r", Pool: "pricing", Slots: 8, Connections: 64},
+			Name: name, Value: &fleet.BackendServer{Address: serverAddress(name), DataCentre: "a", Rack: "r", Pool: "pricing", Slots: testSlots, Connections: 64},
 		}})
 	}
 	return changes
@@ -418,7 +429,7 @@
 		log := &fakeLog{}
 		servers := &fakeBackend{
 			started: time.Now(), run: takes(50 * time.Millisecond), starts: map[string]int{}, running: map[string]int{},
-			peak: map[string]int{}, until: map[string]int64{}, stops: map[string]chan struct{}{},
+			peak: map[string]int{}, busy: map[string]int{}, until: map[string]int64{}, stops: map[string]chan struct{}{},
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		var runs sync.WaitGroup
--- a/entry/view.go
+++ b/entry/view.go
@@ -157,10 +157,12 @@
 func (e *Engine) takeLoadLocked(statuses []PeerStatus, now time.Time) {
 	e.remoteLoad = map[string]int{}
 	e.remoteRunning = map[string]map[string]int{}
+	e.peerLoads = e.peerLoads[:0]
 	for _, p := range statuses {
 		if now.Sub(p.AskedAt) > peerLoadAge {
 			continue
 		}
+		e.peerLoads = append(e.peerLoads, p.Status)
 		for server, n := range p.Outstanding {
 			e.remoteLoad[server] += n
 		}
@@ -196,23 +198,25 @@
 	st := peer.Status{
 		Incarnation: o.Incarnation, VM: o.VM, DataCentre: o.DataCentre, PeerAddress: o.PeerAddress,
 		Offset: o.Store.Offset(), LogReadable: o.LogView.Readable(), ReadAge: now.Sub(o.LogView.ReadAt()),
-		Running: map[string]map[string]int{}, Waiting: map[string]map[string]int{},
 	}
 	view := e.keyView()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	view.Heard = slices.Collect(maps.Values(e.heard))
 	st.HeardReadable = view.Readable(now, freshnessBound(o.Store.Config()))
+	e.addLoadLocked(&st)
+	st.Withdrawn = slices.Sorted(maps.Keys(e.withdrawn))
+	return st
+}
+
+// addLoadLocked adds this VM's load to what it tells its peers.
+func (e *Engine) addLoadLocked(st *peer.Status) {
+	st.Running, st.Waiting = map[string]map[string]int{}, map[string]map[string]int{}
 	for pool, teams := range e.running {
 		st.Running[pool] = maps.Clone(teams)
 	}
-	for pool, q := range e.queues {
-		st.Waiting[pool] = map[string]int{}
-		for _, team := range q.Teams() {
-			st.Waiting[pool][team] = q.Waiting(team)
-		}
+	for pool := range e.queues {
+		st.Waiting[pool] = e.waitingByTeamLocked(pool)
 	}
 	st.Outstanding = maps.Clone(e.local)
-	st.Withdrawn = slices.Sorted(maps.Keys(e.withdrawn))
-	return st
 }
--- a/entry/wiring_test.go
+++ b/entry/wiring_test.go
@@ -104,3 +104,35 @@
 	require.EqualValues(t, version+1, n.store.Config().Version)
 	time.Sleep(10 * time.Second)
 }
+
+// TestHopelessRequestIsRefusedEarly guards against running requests that cannot end before their deadline, against refusing for good on
+// what was learned from slow tasks, and against refusing because this VM alone has few of the slots.
+func TestHopelessRequestIsRefusedEarly(t *testing.T) {
+	withNodes(t, 100, func(t *testing.T, a, b *node) {
+		a.backend.setRun(takes(time.Second))
+		expect(t, a.Handle(t.Context(), again("teaches")), "", errkind.Done)
+		expect(t, b.Handle(t.Context(), again("teaches")), "", errkind.Done)
+		short := again("short")
+		short.TimeLeft = 500 * time.Millisecond
+		expect(t, a.Handle(t.Context(), short), errkind.DeadlineTooClose, errkind.NotRun)
+		a.backend.setRun(takes(10 * time.Millisecond))
+		for i := 0; a.backend.count("short") == 0; i++ {
+			require.Less(t, i, 100, "one in 32 refusals is a trial")
+			short.ID = order("").ID
+			a.Handle(t.Context(), short)
+		}
+		short.ID = order("").ID
+		expect(t, a.Handle(t.Context(), short), "", errkind.Done)
+
+		a.backend.setRun(takes(time.Second))
+		a.submitAll(t.Context(), "quotes", 100)
+		b.submitAll(t.Context(), "quotes", 10)
+		late := again("late")
+		late.TimeLeft = 3 * time.Second
+		sent := time.Now()
+		expect(t, b.Handle(t.Context(), late), errkind.DeadlineTooClose, errkind.NotRun)
+		require.Zero(t, time.Since(sent))
+		late.ID, late.TimeLeft = order("").ID, 9*time.Second
+		expect(t, b.Handle(t.Context(), late), "", errkind.Done)
+	})
+}
--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -104,6 +104,9 @@
 // Waiting returns the number of waiting requests of a team.
 func (q *Queue) Waiting(team string) int { return q.count[team] }
 
+// WaitingOf returns the number of waiting requests of a team and class.
+func (q *Queue) WaitingOf(class fleet.Class, team string) int { return len(q.waiting[class][team]) }
+
 // Teams returns the teams that have waiting requests, in order.
 func (q *Queue) Teams() []string {
 	teams := make([]string, 0, len(q.count))
