Keep teams' shares over all entry VMs by usage above entitlement and allotments

Cause: the order of the teams came from running tasks, and a VM that held slots refilled them with its own waiting requests. A team that reached only another VM got nothing while the pool was full.

Changed: each pool has a fairshare.Usage, set from own tasks at each start and end and from the peers' loads at each tick, with the entitlement by Divide. Allot bounds the slots of the pool that the VM holds while a peer is short. A request that comes back from a server returns to its place by arrival, and the reserve is rounded up.

Two cases are left out of the allotment: waiting requests that their team's upper limit bars, which could not use the slots, and urgent work in pools that also have overnight work, because loads do not tell classes and a peer's overnight work would hold it back. Such pools keep shares by usage only.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -100,7 +100,11 @@
 	}
 	e.nextItem++
 	c.item = fairshare.Item{ID: e.nextItem, Team: c.team, Class: c.queue.Class, Enqueued: c.began}
-	q.Push(c.item)
+	if c.refusals > 0 || c.attempts > 0 || c.resume {
+		q.Return(c.item)
+	} else {
+		q.Push(c.item)
+	}
 	e.calls[c.item.ID] = c
 	e.waitingBytes += len(c.req.Body)
 	e.waiting[c.team]++
@@ -164,6 +168,7 @@
 		servers[i].Local++
 		view.Free--
 		view.Running[c.team]++
+		e.heldLocked(&view, c.queue.Pool)
 	}
 	for _, item := range aside {
 		q.Return(item)
@@ -182,18 +187,19 @@
 	return servers
 }
 
-// lentView keeps the preset's reserve of the spare pools free for their own queues, and lends to urgent work only.
+// lentView keeps the preset's reserve of the spare pools free for their own queues, and lends to urgent work only. The allotment is
+// for the pool's own slots.
 func lentView(v fairshare.View) fairshare.View {
 	v.Free -= v.Reserve
 	v.Reserve = v.Free
+	v.Allotment = 0
 	return v
 }
 
 func (e *Engine) fairViewLocked(pool string, servers []routing.Server, now time.Time) fairshare.View {
 	config := e.options.Store.Config()
-	view := fairshare.View{Shares: map[string]int{}, Running: map[string]int{}}
-	for name, t := range config.Teams {
-		view.Shares[name] = t.Share
+	view := fairshare.View{Shares: sharesOf(config), Running: map[string]int{}}
+	for name := range config.Teams {
 		view.Running[name] = e.running[pool][name] + e.remoteRunning[pool][name]
 	}
 	slots := 0
@@ -203,7 +209,8 @@
 			view.Free += max(0, s.Free())
 		}
 	}
-	view.Reserve = slots * config.Preset().ReservePercent / 100
+	view.Reserve = fairshare.Reserve(slots, config.Preset().ReservePercent)
+	e.addSharesLocked(&view, pool, config, now)
 	view.MayStart = func(team string) bool { return e.holder.MayStart(team, now) }
 	return view
 }
@@ -231,6 +238,7 @@
 		e.running[t.pool] = map[string]int{}
 	}
 	e.running[t.pool][t.team]++
+	e.usageChangedLocked(t.pool, now)
 	if c.attempts == 0 && c.refusals == 0 {
 		e.options.Counters.StartDelay(c.queue.Class, now.Sub(c.began))
 	}
@@ -251,6 +259,7 @@
 	e.holder.End(t.team)
 	decrement(e.local, t.server)
 	decrement(e.running[t.pool], t.team)
+	e.usageChangedLocked(t.pool, time.Now())
 	e.dispatchAllLocked()
 }
 
--- a/entry/engine.go
+++ b/entry/engine.go
@@ -142,8 +142,9 @@
 	flights      map[string]*flight       // requests in progress by scope and id
 	pending      map[string]*pendingClaim // claims that the log has not confirmed, by scope and id
 	queues       map[string]*fairshare.Queue
-	calls        map[uint64]*call // waiting calls by item id
-	waiting      map[string]int   // by team
+	shares       map[string]*poolShares // by pool
+	calls        map[uint64]*call       // waiting calls by item id
+	waiting      map[string]int         // by team
 	waitingBytes int
 	nextItem     uint64
 
@@ -178,7 +179,7 @@
 		budget:   routing.NewRetryBudget(retryPercent, retryBurst),
 		runTimes: routing.NewRunTimes(),
 		rnd:      rand.New(rand.NewPCG(o.Seed, 1)),
-		flights:  map[string]*flight{}, pending: map[string]*pendingClaim{}, queues: map[string]*fairshare.Queue{}, calls: map[uint64]*call{},
+		flights:  map[string]*flight{}, pending: map[string]*pendingClaim{}, queues: map[string]*fairshare.Queue{}, shares: map[string]*poolShares{}, calls: map[uint64]*call{},
 		waiting: map[string]int{}, tasks: map[string]*task{}, running: map[string]map[string]int{},
 		local: map[string]int{}, servers: map[string]*server{}, byPool: map[string][]string{},
 		remoteLoad: map[string]int{}, remoteRunning: map[string]map[string]int{}, withdrawn: map[string]bool{},
--- a/entry/view.go
+++ b/entry/view.go
@@ -148,6 +148,7 @@
 		e.watcher.Contact(askedAt, now)
 	}
 	e.takeLoadLocked(statuses, now)
+	e.takeSharesLocked(config, now)
 	e.takeWithdrawnLocked(statuses, config)
 	e.dispatchAllLocked()
 	e.preemptLocked(now)
--- a/entry/wiring_test.go
+++ b/entry/wiring_test.go
@@ -136,3 +136,38 @@
 		expect(t, b.Handle(t.Context(), late), "", errkind.Done)
 	})
 }
+
+// TestSharesHoldWithSkewedLoad guards a team whose requests all come to one VM against a VM that refills the slots which it holds with
+// another team's requests.
+func TestSharesHoldWithSkewedLoad(t *testing.T) {
+	withNodes(t, 100, func(t *testing.T, a, b *node) {
+		a.log.configure(1,
+			fleet.Change{Team: &fleet.Object[fleet.Team]{Name: "riks", Value: &fleet.Team{Share: 1, Limit: 100}}},
+			fleet.Change{Pool: &fleet.Object[fleet.Pool]{Name: "urgent", Value: &fleet.Pool{}}},
+			fleet.Change{Server: &fleet.Object[fleet.BackendServer]{Name: "s3", Value: &fleet.BackendServer{
+				Address: serverAddress("s3"), DataCentre: "a", Rack: "r", Pool: "urgent", Slots: testSlots, Connections: 64,
+			}}},
+			fleet.Change{Queue: &fleet.Object[fleet.Queue]{Name: "u1", Value: &fleet.Queue{
+				Pool: "urgent", Class: fleet.Urgent, Open: true, Team: "varmland",
+			}}},
+			fleet.Change{Queue: &fleet.Object[fleet.Queue]{Name: "u2", Value: &fleet.Queue{
+				Pool: "urgent", Class: fleet.Urgent, Open: true, Team: "riks",
+			}}})
+		time.Sleep(10 * time.Second)
+		a.backend.setRun(takes(300 * time.Millisecond))
+		a.submitAll(t.Context(), "u1", 2000)
+		b.submitAll(t.Context(), "u2", 2000)
+		time.Sleep(5 * time.Second) // the first grants and heartbeats
+		held := map[string]int{}
+		for range 200 {
+			time.Sleep(50 * time.Millisecond)
+			a.backend.set(func() {
+				for team, n := range a.backend.running {
+					held[team] += n
+				}
+			})
+		}
+		require.InDelta(t, 1, float64(held["riks"])/float64(held["varmland"]), 0.2, "slot-time %v", held)
+		require.Greater(t, held["riks"]+held["varmland"], 200*testSlots*8/10, "the slots are in use")
+	})
+}
