Lend the slots that an allotment leaves to a peer which cannot use them

Cause: an allotment leaves free slots to a peer that has requests waiting. A peer that cannot start them, for example without grants while the log is down, kept half of a pool idle for as long as that lasted.

Changed: after 4 s in which free slots were left and the peers started nothing, the allotment is lifted for 10 s and then counts again.

Ruled out: lending until the peers start something. A VM that refills all slots never leaves one to start on; the peer got nothing after the log had come back.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -134,7 +134,9 @@
 	}
 	now := time.Now()
 	own := e.candidatesLocked(pool, now)
-	e.fillLocked(q, own, e.fairViewLocked(pool, own, now), now)
+	view := e.fairViewLocked(pool, own, now)
+	e.lendIdleLocked(&view, pool, now)
+	e.fillLocked(q, own, view, now)
 	if q.Len() == 0 {
 		return
 	}
--- a/entry/shares.go
+++ b/entry/shares.go
@@ -15,6 +15,40 @@
 	mixed      bool            // the pool has overnight work
 	allotment  int
 	allottedAt time.Time
+	remote     int       // tasks of the peers when the pool was dispatched last
+	leftSince  time.Time // since when slots are left to peers that start nothing
+}
+
+// Slots are left for leaveFor to a peer that starts nothing, which is longer than the 3 s between two loads of a peer at full size. Then
+// they are lent for lendFor and left to it again, because a VM that refills all slots cannot see that the peer has become able to start.
+const (
+	leaveFor = 4 * time.Second
+	lendFor  = 10 * time.Second
+)
+
+// lendIdleLocked lifts the allotment while the peers do not use the slots that are left to them, for example because they are cut off from
+// the servers or, without the log, from grants.
+func (e *Engine) lendIdleLocked(view *fairshare.View, pool string, now time.Time) {
+	s := e.sharesLocked(pool)
+	remote := 0
+	for _, n := range e.remoteRunning[pool] {
+		remote += n
+	}
+	idle := view.Free > max(0, view.Allotment-view.Held)
+	left := now.Sub(s.leftSince)
+	due := !s.leftSince.IsZero() && left >= leaveFor
+	switch {
+	case remote > s.remote || view.Allotment == fairshare.NoAllotment || due && left >= leaveFor+lendFor:
+		s.leftSince, due = time.Time{}, false
+	case s.leftSince.IsZero() && idle:
+		s.leftSince = now
+	case !due && !idle:
+		s.leftSince = time.Time{}
+	}
+	s.remote = remote
+	if due {
+		view.Allotment = 0
+	}
 }
 
 // allotEvery is the age up to which an allotment is used. Between two heartbeats only this VM's own demand changes.
--- a/entry/wiring_test.go
+++ b/entry/wiring_test.go
@@ -141,33 +141,65 @@
 // another team's requests.
 func TestSharesHoldWithSkewedLoad(t *testing.T) {
 	withNodes(t, 100, func(t *testing.T, a, b *node) {
-		a.log.configure(1,
-			fleet.Change{Team: &fleet.Object[fleet.Team]{Name: "riks", Value: &fleet.Team{Share: 1, Limit: 100}}},
-			fleet.Change{Pool: &fleet.Object[fleet.Pool]{Name: "urgent", Value: &fleet.Pool{}}},
-			fleet.Change{Server: &fleet.Object[fleet.BackendServer]{Name: "s3", Value: &fleet.BackendServer{
-				Address: serverAddress("s3"), DataCentre: "a", Rack: "r", Pool: "urgent", Slots: testSlots, Connections: 64,
-			}}},
-			fleet.Change{Queue: &fleet.Object[fleet.Queue]{Name: "u1", Value: &fleet.Queue{
-				Pool: "urgent", Class: fleet.Urgent, Open: true, Team: "varmland",
-			}}},
-			fleet.Change{Queue: &fleet.Object[fleet.Queue]{Name: "u2", Value: &fleet.Queue{
-				Pool: "urgent", Class: fleet.Urgent, Open: true, Team: "riks",
-			}}})
+		a.addUrgentPool()
 		time.Sleep(10 * time.Second)
 		a.backend.setRun(takes(300 * time.Millisecond))
 		a.submitAll(t.Context(), "u1", 2000)
 		b.submitAll(t.Context(), "u2", 2000)
 		time.Sleep(5 * time.Second) // the first grants and heartbeats
-		held := map[string]int{}
-		for range 200 {
-			time.Sleep(50 * time.Millisecond)
-			a.backend.set(func() {
-				for team, n := range a.backend.running {
-					held[team] += n
-				}
-			})
-		}
+		held := a.backend.slotTime(200)
 		require.InDelta(t, 1, float64(held["riks"])/float64(held["varmland"]), 0.2, "slot-time %v", held)
 		require.Greater(t, held["riks"]+held["varmland"], 200*testSlots*8/10, "the slots are in use")
 	})
 }
+
+// TestIdleAllotmentIsLent guards against slots that stay free for a peer that cannot start its waiting requests, here for want of grants
+// while the log is down.
+func TestIdleAllotmentIsLent(t *testing.T) {
+	withNodes(t, 100, func(t *testing.T, a, b *node) {
+		a.addUrgentPool()
+		time.Sleep(10 * time.Second)
+		a.backend.setRun(takes(300 * time.Millisecond))
+		a.submitAll(t.Context(), "u1", 1000)
+		a.log.setCut(true, a, b)
+		b.submitAll(t.Context(), "u2", 200)
+		time.Sleep(2 * leaveFor)
+		held := a.backend.slotTime(40)
+		require.Zero(t, held["riks"])
+		require.Greater(t, held["varmland"], 40*testSlots*8/10)
+		a.log.setCut(false, a, b)
+		time.Sleep(lendFor + time.Second)
+		held = a.backend.slotTime(40)
+		require.InDelta(t, 1, float64(held["riks"])/float64(held["varmland"]), 0.4, "the peer gets its part once it can start: %v", held)
+	})
+}
+
+// addUrgentPool declares a pool without overnight work and an open queue in it for each of two teams.
+func (n *node) addUrgentPool() {
+	n.log.configure(1,
+		fleet.Change{Team: &fleet.Object[fleet.Team]{Name: "riks", Value: &fleet.Team{Share: 1, Limit: 100}}},
+		fleet.Change{Pool: &fleet.Object[fleet.Pool]{Name: "urgent", Value: &fleet.Pool{}}},
+		fleet.Change{Server: &fleet.Object[fleet.BackendServer]{Name: "s3", Value: &fleet.BackendServer{
+			Address: serverAddress("s3"), DataCentre: "a", Rack: "r", Pool: "urgent", Slots: testSlots, Connections: 64,
+		}}},
+		fleet.Change{Queue: &fleet.Object[fleet.Queue]{Name: "u1", Value: &fleet.Queue{
+			Pool: "urgent", Class: fleet.Urgent, Open: true, Team: "varmland",
+		}}},
+		fleet.Change{Queue: &fleet.Object[fleet.Queue]{Name: "u2", Value: &fleet.Queue{
+			Pool: "urgent", Class: fleet.Urgent, Open: true, Team: "riks",
+		}}})
+}
+
+// slotTime sums the running tasks of each team over samples 50 ms apart.
+func (b *fakeBackend) slotTime(samples int) map[string]int {
+	held := map[string]int{}
+	for range samples {
+		time.Sleep(50 * time.Millisecond)
+		b.set(func() {
+			for team, n := range b.running {
+				held[team] += n
+			}
+		})
+	}
+	return held
+}
