--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -64,6 +64,7 @@
 	}
 	if a := <-c.assigned; a.task != nil {
 		c.onServer = false
+		e.health.Inconclusive(a.server)
 		e.endLocked(a.task)
 	}
 	return assignment{}, err
@@ -100,7 +101,11 @@
 	}
 	e.nextItem++
 	c.item = fairshare.Item{ID: e.nextItem, Team: c.team, Class: c.queue.Class, Enqueued: c.began}
-	q.Push(c.item)
+	if c.refusals > 0 || c.attempts > 0 || c.resume {
+		q.Return(c.item)
+	} else {
+		q.Push(c.item)
+	}
 	e.calls[c.item.ID] = c
 	e.waitingBytes += len(c.req.Body)
 	e.waiting[c.team]++
@@ -130,13 +135,16 @@
 	}
 	now := time.Now()
 	own := e.candidatesLocked(pool, now)
-	e.fillLocked(q, own, e.fairViewLocked(pool, own, now), now)
+	view := e.fairViewLocked(pool, own, now)
+	e.lendIdleLocked(&view, pool, now)
+	e.fillLocked(q, own, view, now)
 	if q.Len() == 0 {
 		return
 	}
 	if spare := e.lendableLocked(pool, now); len(spare) > 0 {
 		e.fillLocked(q, spare, lentView(e.fairViewLocked(pool, spare, now)), now)
 	}
+	e.probeLocked(pool, q, now)
 }
 
 // fillLocked starts waiting calls on servers. Calls that find no server go back to their queue.
@@ -159,12 +167,14 @@
 			continue
 		}
 		e.startLocked(c, servers[i].Name, now)
+		c.probe = false
 		servers[i].Local++
 		view.Free--
 		view.Running[c.team]++
+		e.heldLocked(&view, c.queue.Pool)
 	}
 	for _, item := range aside {
-		q.Push(item)
+		q.Return(item)
 	}
 }
 
@@ -180,18 +190,19 @@
 	return servers
 }
 
-// lentView keeps the preset's reserve of the spare pools free for their own queues, and lends to urgent work only.
+// lentView keeps the preset's reserve of the spare pools free for their own queues, and lends to urgent work only. The allotment is
+// for the pool's own slots.
 func lentView(v fairshare.View) fairshare.View {
 	v.Free -= v.Reserve
 	v.Reserve = v.Free
+	v.Allotment = 0
 	return v
 }
 
 func (e *Engine) fairViewLocked(pool string, servers []routing.Server, now time.Time) fairshare.View {
 	config := e.options.Store.Config()
-	view := fairshare.View{Shares: map[string]int{}, Running: map[string]int{}}
-	for name, t := range config.Teams {
-		view.Shares[name] = t.Share
+	view := fairshare.View{Shares: sharesOf(config), Running: map[string]int{}}
+	for name := range config.Teams {
 		view.Running[name] = e.running[pool][name] + e.remoteRunning[pool][name]
 	}
 	slots := 0
@@ -201,7 +212,8 @@
 			view.Free += max(0, s.Free())
 		}
 	}
-	view.Reserve = slots * config.Preset().ReservePercent / 100
+	view.Reserve = fairshare.Reserve(slots, config.Preset().ReservePercent)
+	e.addSharesLocked(&view, pool, config, now)
 	view.MayStart = func(team string) bool { return e.holder.MayStart(team, now) }
 	return view
 }
@@ -224,10 +236,12 @@
 	t.leaseEnd = e.holder.TaskEnd(c.team, e.holder.Running(c.team)-1, now)
 	e.tasks[t.id] = t
 	e.local[name]++
+	e.health.Started(name, now)
 	if e.running[t.pool] == nil {
 		e.running[t.pool] = map[string]int{}
 	}
 	e.running[t.pool][t.team]++
+	e.usageChangedLocked(t.pool, now)
 	if c.attempts == 0 && c.refusals == 0 {
 		e.options.Counters.StartDelay(c.queue.Class, now.Sub(c.began))
 	}
@@ -248,6 +262,7 @@
 	e.holder.End(t.team)
 	decrement(e.local, t.server)
 	decrement(e.running[t.pool], t.team)
+	e.usageChangedLocked(t.pool, time.Now())
 	e.dispatchAllLocked()
 }
 
@@ -340,19 +355,23 @@
 	}
 	switch {
 	case checkpointed:
+		e.health.Inconclusive(a.server)
 	case k == "":
 		e.runTimes.Observe(c.req.Queue, c.team, runTime)
 		e.reportLocked(a.server, true, now)
 	case k == errkind.BackendRefused:
-		e.refusedLocked(a.server, now)
+		e.refusedLocked(a.server, err, now)
 		if errors.Is(err, backend.ErrOtherBoot) {
 			e.forgetClockLocked(a.server, a.send.BootID)
 		}
 	case c.ctx.Err() == nil && !a.task.stopping:
 		before := e.health.Ejected(a.server, now)
-		e.reportLocked(a.server, false, now)
+		e.failedLocked(c, a.server, now)
 		ejected = !before && e.health.Ejected(a.server, now)
+	default:
+		e.health.Inconclusive(a.server)
 	}
+	e.slotKnownLocked(c, a.server, k != errkind.BackendRefused)
 	if k == "" || k == errkind.BackendRefused || k == errkind.BackendFailed {
 		e.endLocked(a.task)
 		return
@@ -364,10 +383,3 @@
 		e.endLocked(a.task)
 	})
 }
-
-// reportLocked notes the end of a task for the health of its server, among the servers of the server's own pool.
-func (e *Engine) reportLocked(name string, ok bool, now time.Time) {
-	if s, known := e.servers[name]; known {
-		e.health.Report(name, ok, e.byPool[s.pool], now)
-	}
-}
--- a/entry/engine.go
+++ b/entry/engine.go
@@ -130,6 +130,9 @@
 	issuer   *claims.Issuer
 	results  *claims.Results
 	health   *routing.Health
+	full     *routing.FullMarks
+	probers  map[string]*routing.Prober // by pool
+	waking   map[string]bool            // pools for which a later dispatch is due
 	budget   *routing.RetryBudget
 	runTimes *routing.RunTimes
 	rnd      *rand.Rand
@@ -142,8 +145,9 @@
 	flights      map[string]*flight       // requests in progress by scope and id
 	pending      map[string]*pendingClaim // claims that the log has not confirmed, by scope and id
 	queues       map[string]*fairshare.Queue
-	calls        map[uint64]*call // waiting calls by item id
-	waiting      map[string]int   // by team
+	shares       map[string]*poolShares // by pool
+	calls        map[uint64]*call       // waiting calls by item id
+	waiting      map[string]int         // by team
 	waitingBytes int
 	nextItem     uint64
 
@@ -157,6 +161,7 @@
 
 	remoteLoad    map[string]int // peers' tasks by server
 	remoteRunning map[string]map[string]int
+	peerLoads     []peer.Status // of the peers whose numbers are new enough
 	withdrawn     map[string]bool
 	heard         map[string]keys.PeerView // what others said in their heartbeats, by incarnation
 	freshUntil    time.Time                // until when keys may be accepted on this VM's view
@@ -167,15 +172,17 @@
 	base, stop := context.WithCancel(context.Background())
 	return &Engine{
 		options: o, base: base, stop: stop,
-		holder:   limits.NewHolder(o.Limits),
-		watcher:  limits.NewWatcher(o.Limits),
-		issuer:   claims.NewIssuer(o.Incarnation),
-		results:  claims.NewResults(o.ResultBytes),
-		health:   routing.NewHealth(o.Health),
+		holder:  limits.NewHolder(o.Limits),
+		watcher: limits.NewWatcher(o.Limits),
+		issuer:  claims.NewIssuer(o.Incarnation),
+		results: claims.NewResults(o.ResultBytes),
+		health:  routing.NewHealth(o.Health),
+		full:    routing.NewFullMarks(routing.FullHold),
+		probers: map[string]*routing.Prober{}, waking: map[string]bool{},
 		budget:   routing.NewRetryBudget(retryPercent, retryBurst),
 		runTimes: routing.NewRunTimes(),
 		rnd:      rand.New(rand.NewPCG(o.Seed, 1)),
-		flights:  map[string]*flight{}, pending: map[string]*pendingClaim{}, queues: map[string]*fairshare.Queue{}, calls: map[uint64]*call{},
+		flights:  map[string]*flight{}, pending: map[string]*pendingClaim{}, queues: map[string]*fairshare.Queue{}, shares: map[string]*poolShares{}, calls: map[uint64]*call{},
 		waiting: map[string]int{}, tasks: map[string]*task{}, running: map[string]map[string]int{},
 		local: map[string]int{}, servers: map[string]*server{}, byPool: map[string][]string{},
 		remoteLoad: map[string]int{}, remoteRunning: map[string]map[string]int{}, withdrawn: map[string]bool{},
