--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -86,7 +86,7 @@
 	switch {
 	case len(e.candidatesLocked(c.queue.Pool, now)) == 0:
 		return errkind.New(errkind.NoBackendServer, "no backend server of pool %q took work until the deadline", c.queue.Pool)
-	case e.holder.Running(c.team) >= e.holder.Allowed(c.team, now):
+	case !e.holder.MayStart(c.team, now):
 		return errkind.New(errkind.LimitReached, "team %q ran as much as its grant allows until the deadline", c.team)
 	}
 	return errDeadline
@@ -148,9 +148,9 @@
 			break
 		}
 		c := e.calls[item.ID]
-		if e.keyWithdrawnLocked(c) {
+		if err := e.keyRefusalLocked(c, now); err != nil {
 			e.poppedLocked(c)
-			c.assigned <- assignment{err: errkind.New(errkind.KeyWithdrawn, "key %q was withdrawn", c.keyID)}
+			c.assigned <- assignment{err: err}
 			continue
 		}
 		i, ok := routing.Choose(servers, e.options.DataCentre, c.exclude, e.rnd)
@@ -202,10 +202,14 @@
 		}
 	}
 	view.Reserve = slots * config.Preset().ReservePercent / 100
-	view.MayStart = func(team string) bool { return e.holder.Running(team) < e.holder.Allowed(team, now) }
+	view.MayStart = func(team string) bool { return e.holder.MayStart(team, now) }
 	return view
 }
 
+// startWithin is how long after its dispatch a task may start. Together with the freshness of the view at the dispatch it bounds the
+// time for which a withdrawn key still starts tasks, however long the network delays them.
+const startWithin = 2 * time.Second
+
 // startLocked counts a task against the team's limit and hands it to the waiting call.
 func (e *Engine) startLocked(c *call, name string, now time.Time) {
 	e.poppedLocked(c)
@@ -217,8 +221,7 @@
 		call: c, pool: c.queue.Pool, team: c.team, server: name, address: s.address,
 		fence: e.member.Fence, number: e.nextTask, repeatable: c.kind == repeatable,
 	}
-	firm := e.holder.Running(c.team) <= e.grants[c.team].Firm
-	t.leaseEnd = e.taskLeaseEndLocked(firm, now)
+	t.leaseEnd = e.holder.TaskEnd(c.team, e.holder.Running(c.team)-1, now)
 	e.tasks[t.id] = t
 	e.local[name]++
 	if e.running[t.pool] == nil {
@@ -232,19 +235,10 @@
 	c.assigned <- assignment{server: name, task: t, send: backend.Task{
 		ID: t.id, Queue: c.req.Queue, Team: c.team, Class: c.queue.Class,
 		Holder: e.options.VM, Fence: t.fence, PoolEpoch: s.epoch,
-		LeaseUntil: s.clock.at(t.leaseEnd, e.options.Limits.ClockRate), Body: c.req.Body, Resume: c.resume,
+		BootID: s.clock.boot, StartUntil: s.clock.at(now.Add(startWithin), e.options.Limits.ClockRate), LeaseUntil: s.clock.at(t.leaseEnd, e.options.Limits.ClockRate), Body: c.req.Body, Resume: c.resume,
 	}}
 }
 
-// taskLeaseEndLocked returns the end of a task's lease. Only a task within the firm grant may outlive the holder's lease.
-func (e *Engine) taskLeaseEndLocked(firm bool, now time.Time) time.Time {
-	end := now.Add(e.options.Limits.TaskLease)
-	if lease := e.holder.LeaseEnd(); !firm && lease.Before(end) {
-		return lease
-	}
-	return end
-}
-
 // endLocked counts a task out and starts what waited for its slot.
 func (e *Engine) endLocked(t *task) {
 	if _, ok := e.tasks[t.id]; !ok {
@@ -351,6 +345,9 @@
 		e.reportLocked(a.server, true, now)
 	case k == errkind.BackendRefused:
 		e.refusedLocked(a.server, now)
+		if errors.Is(err, backend.ErrOtherBoot) {
+			e.forgetClockLocked(a.server, a.send.BootID)
+		}
 	case c.ctx.Err() == nil && !a.task.stopping:
 		before := e.health.Ejected(a.server, now)
 		e.reportLocked(a.server, false, now)
--- a/entry/engine_test.go
+++ b/entry/engine_test.go
@@ -208,22 +208,21 @@
 		}
 		a.backend.setRun(takes(2 * time.Second))
 		hold(a, "first")
-		time.Sleep(time.Second)
-		hold(b, "second")
-		time.Sleep(time.Second)
-		a.setBlind(true)
+		time.Sleep(7 * time.Second) // a has no need any more, but nobody asks
 		a.backend.setRun(takes(20 * time.Second))
+		hold(b, "second")
 		most := func() int {
 			a.mu.Lock()
 			defer a.mu.Unlock()
-			if len(a.giving) == 0 {
+			if !a.holder.Giving("varmland") {
 				return -1
 			}
 			return a.holder.Allowed("varmland", time.Now())
 		}
 		for most() < 0 {
-			time.Sleep(time.Millisecond)
+			time.Sleep(time.Microsecond)
 		}
+		a.setBlind(true)
 		require.Zero(t, most())
 		time.Sleep(5 * time.Second)
 		require.Equal(t, 3, a.backend.count("second"))
@@ -369,6 +368,25 @@
 	})
 }
 
+// TestServerRestart guards that a task on a server that has just restarted, with a clock that starts anew, gets no lease by the
+// clock of the earlier boot: it would outlive its holder's grant.
+func TestServerRestart(t *testing.T) {
+	withNodes(t, 4, func(t *testing.T, a, _ *node) {
+		time.Sleep(61500 * time.Millisecond)
+		a.backend.restart()
+		longest := time.Duration(0)
+		a.backend.setRun(func(_ context.Context, task backend.Task) ([]byte, error) {
+			a.backend.mu.Lock()
+			defer a.backend.mu.Unlock()
+			longest = max(longest, time.Duration(a.backend.until[task.ID]-a.backend.clock())*time.Millisecond)
+			return nil, nil
+		})
+		expect(t, a.Handle(t.Context(), order("after the restart")), "", errkind.Done)
+		require.Positive(t, longest)
+		require.LessOrEqual(t, longest, a.options.Limits.TaskLease)
+	})
+}
+
 // TestShutdown guards that a planned stop interrupts no request, and that the ids it did not run are known as not run afterwards.
 func TestShutdown(t *testing.T) {
 	withNodes(t, 4, func(t *testing.T, a, b *node) {
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -69,8 +69,8 @@
 		}
 	}
 	if issued, ok := claims.ParseIssued(id); ok {
-		if outcomes, ok := e.leftIssuer(issued.Incarnation); ok {
-			return e.recordedByLeaver(outcomes, id)
+		if outcome, ok := e.leftIssuer(issued); ok {
+			return e.recorded(outcome)
 		}
 	}
 	if found, ok := e.askPeers(ctx, scopes, id); ok {
@@ -79,14 +79,6 @@
 	return best
 }
 
-func (e *Engine) recordedByLeaver(outcomes map[string]errkind.Outcome, id string) Response {
-	outcome, begun := outcomes[id]
-	if !begun {
-		outcome = errkind.NotRun
-	}
-	return e.recorded(outcome)
-}
-
 // askPeers asks all peers at once and returns the first that knows the id.
 func (e *Engine) askPeers(ctx context.Context, scopes []string, id string) (Response, bool) {
 	statuses := e.options.Peers.Statuses()
@@ -136,7 +128,7 @@
 
 // HandleForward runs a peer's request whose id this VM issued. The peer has authenticated the team.
 func (e *Engine) HandleForward(ctx context.Context, args peer.ForwardArgs) peer.ResultReply {
-	c := &call{began: time.Now(), scope: args.Team, team: args.Team, req: Request{
+	c := &call{began: time.Now(), scope: args.Team, team: args.Team, keyID: args.KeyID, req: Request{
 		Queue: args.Queue, ID: args.RequestID, Repeatable: args.Repeatable, TimeLeft: args.TimeLeft, Body: args.Body,
 	}}
 	var err error
--- a/entry/view.go
+++ b/entry/view.go
@@ -58,7 +58,23 @@
 	if config.Policy.OnStaleView == fleet.ServeWhenStale {
 		return nil
 	}
-	if e.keyView().Fresh(time.Now(), freshnessBound(config)) {
+	now := time.Now()
+	until := e.keyView().FreshUntil(now, freshnessBound(config))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.noteFreshLocked(until)
+	return e.staleLocked(config, now)
+}
+
+func (e *Engine) noteFreshLocked(until time.Time) {
+	if until.After(e.freshUntil) {
+		e.freshUntil = until
+	}
+}
+
+// staleLocked is checkFresh on what was noted last.
+func (e *Engine) staleLocked(config *fleet.Config, now time.Time) error {
+	if config.Policy.OnStaleView == fleet.ServeWhenStale || !now.After(e.freshUntil) {
 		return nil
 	}
 	return errkind.New(errkind.ViewNotFresh, "this VM cannot confirm that the key was not withdrawn in the last %v", freshnessBound(config))
@@ -87,19 +103,27 @@
 	return e.withdrawn[keyID]
 }
 
-// keyWithdrawnLocked reports whether the key of a waiting call was withdrawn since it was accepted.
-func (e *Engine) keyWithdrawnLocked(c *call) bool {
+// keyRefusalLocked says why a waiting call may not start although its key was accepted: the key was withdrawn since, or may have been.
+func (e *Engine) keyRefusalLocked(c *call, now time.Time) error {
 	if c.keyID == "" {
-		return false
+		return nil
+	}
+	config := e.options.Store.Config()
+	if e.withdrawn[c.keyID] || config.Keys[c.keyID].Withdrawn {
+		return errkind.New(errkind.KeyWithdrawn, "key %q was withdrawn", c.keyID)
 	}
-	return e.withdrawn[c.keyID] || e.options.Store.Config().Keys[c.keyID].Withdrawn
+	return e.staleLocked(config, now)
 }
 
 // AnsweredHeartbeat notes that this VM answered a heartbeat of a peer: its lease counts anew.
 func (e *Engine) AnsweredHeartbeat(from peer.Status) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.watcher.Vouch(from.Incarnation, time.Now())
+	now := time.Now()
+	e.watcher.Vouch(from.Incarnation, now)
+	bound := freshnessBound(e.options.Store.Config())
+	maps.DeleteFunc(e.heard, func(_ string, p keys.PeerView) bool { return now.Sub(p.AskedAt) > bound })
+	e.heard[from.Incarnation] = keys.PeerView{AskedAt: now, Offset: from.Offset, ReadAge: from.ReadAge}
 }
 
 // tick takes what the peers said and follows the leases.
@@ -108,18 +132,20 @@
 	statuses := e.options.Peers.Statuses()
 	config := e.options.Store.Config()
 	bound := freshnessBound(config)
-	since, outage := e.keyView().OutageForAllSince(now, bound)
+	view := e.keyView()
+	since, outage := view.OutageForAllSince(now, bound)
 	var members map[string]fleet.Member
 	e.options.Store.View(func(s *fleet.State) { members = maps.Clone(s.Members) })
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	_ = e.refreshLocked() // foldLoop reports the error
+	e.noteFreshLocked(view.FreshUntil(now, bound))
 	if outage && e.joined {
-		e.holder.Renewed(since)
+		e.holder.Vouched(since, now)
 	}
 	e.watcher.Observe(members, e.options.Incarnation, now)
-	if !e.majorityLocked(config, statuses, now, bound) {
-		e.watcher.RestartAll(now)
+	if askedAt, ok := view.MajorityAskedAt(now); ok {
+		e.watcher.Contact(askedAt, now)
 	}
 	e.takeLoadLocked(statuses, now)
 	e.takeWithdrawnLocked(statuses, config)
@@ -128,24 +154,6 @@
 	e.vacateLocked()
 }
 
-// majorityLocked reports whether this VM is in contact with a majority of the data centres that have entry VMs.
-func (e *Engine) majorityLocked(config *fleet.Config, statuses []PeerStatus, now time.Time, bound time.Duration) bool {
-	reached := map[string]bool{e.options.DataCentre: true}
-	for _, p := range statuses {
-		if now.Sub(p.AskedAt) <= bound {
-			reached[p.DataCentre] = true
-		}
-	}
-	centres := entryCentres(config)
-	n := 0
-	for _, c := range centres {
-		if reached[c] {
-			n++
-		}
-	}
-	return 2*n > len(centres)
-}
-
 func (e *Engine) takeLoadLocked(statuses []PeerStatus, now time.Time) {
 	e.remoteLoad = map[string]int{}
 	e.remoteRunning = map[string]map[string]int{}
@@ -190,14 +198,11 @@
 		Offset: o.Store.Offset(), LogReadable: o.LogView.Readable(), ReadAge: now.Sub(o.LogView.ReadAt()),
 		Running: map[string]map[string]int{}, Waiting: map[string]map[string]int{},
 	}
-	bound := freshnessBound(o.Store.Config())
-	for _, p := range o.Peers.Statuses() {
-		// Only the peer's own reads count: otherwise two VMs that cannot read would go on confirming each other.
-		own := p.LogReadable && now.Sub(p.AskedAt)+p.ReadAge <= bound
-		st.LogReadable = st.LogReadable || own
-	}
+	view := e.keyView()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	view.Heard = slices.Collect(maps.Values(e.heard))
+	st.HeardReadable = view.Readable(now, freshnessBound(o.Store.Config()))
 	for pool, teams := range e.running {
 		st.Running[pool] = maps.Clone(teams)
 	}
--- a/fleet/apply_config_test.go
+++ b/fleet/apply_config_test.go
@@ -25,9 +25,9 @@
 func TestConfigureKeepsBudgetsAndPools(t *testing.T) {
 	s, err := samplefleet.State(samplefleet.Size{Servers: 8, Pools: 2, Teams: 1, EntryVMs: 1, DataCentres: 1, Regions: 1})
 	require.NoError(t, err)
-	r := configure(s, "a", removeServer("server-000"), removeServer("server-002"), removeServer("server-004"))
-	assert.Equal(t, errkind.BudgetExceeded, r.Kind, "the pool needs two of its four VMs")
-	assert.True(t, configure(s, "b", removeServer("server-000"), removeServer("server-002")).OK())
+	r := configure(s, "a", removeServer("server-000"), removeServer("server-002"))
+	assert.Equal(t, errkind.BudgetExceeded, r.Kind, "one VM of the pool may be out at a time")
+	assert.True(t, configure(s, "b", removeServer("server-000")).OK())
 
 	moved := s.VMs["server-001"]
 	moved.MoveTo, moved.Phase = "pool-000", fleet.Moving
--- a/keys/freshness.go
+++ b/keys/freshness.go
@@ -1,6 +1,9 @@
 package keys
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // PeerView is what a member of the fleet said in its last answer to a heartbeat.
 type PeerView struct {
@@ -18,9 +21,12 @@
 
 // View is what one entry VM knows of the age of its own state.
 type View struct {
-	Offset  uint64
-	ReadAt  time.Time // start of the last read that reached the end of the log
-	Peers   []PeerView
+	Offset uint64
+	ReadAt time.Time // start of the last read that reached the end of the log
+	Peers  []PeerView
+	// Heard has what others said in the heartbeats that they sent, with AskedAt the time of receipt. It counts for
+	// Readable only, because it speaks for an unknown time before the receipt.
+	Heard   []PeerView
 	Centres []string // data centres that have declared entry VMs
 	Centre  string   // the VM's own data centre
 	// LogReadable is whether the VM's last read of the log succeeded.
@@ -71,11 +77,55 @@
 	return since, true
 }
 
-// Fresh reports whether a key may be checked on this view: a withdrawal older than bound would be in it.
-func (v View) Fresh(now time.Time, bound time.Duration) bool {
-	if now.Sub(v.ConfirmedAt()) <= bound {
+// FreshUntil returns until when a key may be checked on this view: a withdrawal older than bound would be in it. What becomes known later
+// can only extend it.
+func (v View) FreshUntil(now time.Time, bound time.Duration) time.Time {
+	at := v.ConfirmedAt()
+	if since, outage := v.OutageForAllSince(now, bound); outage && since.After(at) {
+		at = since
+	}
+	return at.Add(bound)
+}
+
+// Readable returns the LogReadable of the VM's own heartbeats: it reads the log, or has heard within bound from a VM that reads
+// it or is ahead. Only reads of the peers themselves count, by their age: a VM that passed on what others had passed on
+// would keep a rumour alive for ever, and no outage for all would ever be seen.
+func (v View) Readable(now time.Time, bound time.Duration) bool {
+	if v.LogReadable {
 		return true
 	}
-	_, outage := v.OutageForAllSince(now, bound)
-	return outage
+	for _, p := range slices.Concat(v.Peers, v.Heard) {
+		age := now.Sub(p.AskedAt)
+		if age <= bound && (p.Offset > v.Offset || age+p.ReadAge <= bound) {
+			return true
+		}
+	}
+	return false
+}
+
+// MajorityAskedAt returns the latest time since which a majority of the data centres has been asked and has answered. A data
+// centre has answered when one of its live members has: partitions occur between data centres, so this one has heard what the
+// others there say. It returns false if a majority never has.
+func (v View) MajorityAskedAt(now time.Time) (time.Time, bool) {
+	newest := map[string]time.Time{v.Centre: now}
+	for _, p := range v.Peers {
+		if p.Gone {
+			continue
+		}
+		if p.AskedAt.After(newest[p.DataCentre]) {
+			newest[p.DataCentre] = p.AskedAt
+		}
+	}
+	var asked []time.Time
+	for _, c := range v.Centres {
+		if at, ok := newest[c]; ok {
+			asked = append(asked, at)
+		}
+	}
+	majority := len(v.Centres)/2 + 1
+	if len(asked) < majority {
+		return time.Time{}, false
+	}
+	slices.SortFunc(asked, func(a, b time.Time) int { return b.Compare(a) })
+	return asked[majority-1], true
 }
