Put withdrawals into the log that were made while it was down

Cause: a withdrawal at an operators' interface while the log was down barred the key on the VMs that heard of it, but only the operator's repeat put it into the log; with those VMs it was forgotten. Every VM that has heard of one now submits it under one id once it can read the log. A mistyped id is no longer passed on among VMs. The test fails without the loop.

--- a/entry/engine.go
+++ b/entry/engine.go
@@ -211,6 +211,7 @@
 	loops.Go(func() { every(ctx, renewPeriod, func() { e.renewMember(ctx) }) })
 	loops.Go(func() { every(ctx, serverPeriod, func() { e.pollServers(ctx) }) })
 	loops.Go(func() { every(ctx, watchPeriod, func() { e.submitDue(ctx) }) })
+	loops.Go(func() { e.withdrawLoop(ctx) })
 	<-ctx.Done()
 	e.stop()
 	loops.Wait()
--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -154,6 +155,7 @@
 		o.mu.Lock()
 		st := peer.Status{Incarnation: o.options.Incarnation, DataCentre: o.options.DataCentre, PeerAddress: o.name}
 		o.addLoadLocked(&st)
+		st.Withdrawn = slices.Sorted(maps.Keys(o.withdrawn))
 		o.mu.Unlock()
 		st.Offset = o.store.Offset()
 		st.LogReadable = o.Readable()
--- a/entry/view.go
+++ b/entry/view.go
@@ -178,11 +178,14 @@
 	}
 }
 
-// takeWithdrawnLocked learns withdrawals from peers and drops those that are in the configuration.
+// takeWithdrawnLocked learns withdrawals from peers and drops those that are in the configuration. A key that this VM does not know is refused
+// anyway; taking its id would let VMs tell each other of a mistyped id for ever.
 func (e *Engine) takeWithdrawnLocked(statuses []PeerStatus, config *fleet.Config) {
 	for _, p := range statuses {
 		for _, id := range p.Withdrawn {
-			e.withdrawn[id] = true
+			if _, known := config.Keys[id]; known {
+				e.withdrawn[id] = true
+			}
 		}
 	}
 	for id := range e.withdrawn {
