Tell a server at once that its VM serves again

Cause: serving VMs are looked at in every fifth round only, so after a move or an abandoned drain a server refused tasks for up to 5 s although the fold called it serving. A VM is due in every round until its server has been seen to serve at the phase epoch in force.

--- a/reconcile/reconcile.go
+++ b/reconcile/reconcile.go
@@ -77,8 +77,9 @@
 	o     Options
 	round uint64
 
-	mu     sync.Mutex
-	silent map[string]time.Time // since when a server has not answered
+	mu      sync.Mutex
+	silent  map[string]time.Time // since when a server has not answered
+	settled map[string]uint64    // phase epoch at which a server was last seen to serve
 }
 
 // New returns a reconciler. Zero settings get their defaults.
@@ -95,7 +96,7 @@
 	if o.Parallel == 0 {
 		o.Parallel = DefaultParallel
 	}
-	return &Reconciler{o: o, silent: map[string]time.Time{}}
+	return &Reconciler{o: o, silent: map[string]time.Time{}, settled: map[string]uint64{}}
 }
 
 // Run runs rounds until ctx ends.
@@ -146,9 +147,11 @@
 	}
 }
 
-// due spreads the VMs that only serve over several rounds.
+// due spreads the VMs that only serve, and whose servers know it, over several rounds.
 func (r *Reconciler) due(a assignment) bool {
-	if !a.vm.Available() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !a.vm.Available() || r.settled[a.name] != a.vm.Epoch {
 		return true
 	}
 	return rank(a.name, "")%servingRounds == r.round%servingRounds
@@ -235,9 +238,7 @@
 	}
 	switch a.vm.Phase {
 	case fleet.Serving:
-		if status.Draining || status.PoolEpoch < a.vm.Epoch {
-			_, _ = r.o.Servers.Undrain(call, a.server.Address, a.vm.Epoch)
-		}
+		r.stepServing(call, a, status)
 	case fleet.Draining:
 		r.stepDraining(ctx, call, a)
 	case fleet.Rebooting:
@@ -247,6 +248,21 @@
 	}
 }
 
+// stepServing tells the server that its VM serves, unless it knows.
+func (r *Reconciler) stepServing(call context.Context, a assignment, status backend.Status) {
+	if status.Draining || status.PoolEpoch < a.vm.Epoch {
+		var err error
+		if status, err = r.o.Servers.Undrain(call, a.server.Address, a.vm.Epoch); err != nil {
+			return
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !status.Draining {
+		r.settled[a.name] = a.vm.Epoch
+	}
+}
+
 // stepDraining drains the server and goes on once it has confirmed that it is empty.
 func (r *Reconciler) stepDraining(ctx, call context.Context, a assignment) {
 	if a.giveUp != "" {
