--- a/daemon/view.go
+++ b/daemon/view.go
@@ -5,8 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"example.org/comfreyrouter/entry"
 	"example.org/comfreyrouter/events"
 	"example.org/comfreyrouter/fleet"
@@ -176,18 +174,18 @@
 }
 
 // logging counts the events of the log client and notes those that an operator should see.
-func logging(logger zerolog.Logger, m *metrics.Metrics) logclient.CountFunc {
+func (d *daemon) logging(m *metrics.Metrics) logclient.CountFunc {
 	return func(e logclient.Event) {
 		m.LogEvent(e)
 		switch e {
 		case logclient.EventRestored, logclient.EventPeerSnapshot:
-			events.Log(logger, events.SnapshotRestored)
+			events.Log(d.Logger, events.SnapshotRestored, d.store.Offset())
 		case logclient.EventSnapshotWritten:
-			events.Log(logger, events.SnapshotWritten)
+			events.Log(d.Logger, events.SnapshotWritten, d.store.Offset())
 		case logclient.EventSnapshotFailed:
-			events.Log(logger, events.SnapshotFailed)
+			events.Log(d.Logger, events.SnapshotFailed)
 		case logclient.EventRecordMalformed:
-			events.Log(logger, events.RecordSkipped)
+			events.Log(d.Logger, events.RecordSkipped, d.store.Offset()+1)
 		}
 	}
 }
--- a/events/events.go
+++ b/events/events.go
@@ -28,16 +28,15 @@
 	FencedSelf       = Event{1007, zerolog.ErrorLevel, "this incarnation was fenced", []string{"incarnation"}, "start the process again; check that no second process runs with the same name"}
 	LogUnreadable    = Event{2001, zerolog.WarnLevel, "platform log cannot be read", []string{"error"}, "see docs/operators.md, the platform's log is down"}
 	LogReadable      = Event{2002, zerolog.InfoLevel, "platform log can be read again", []string{"offset"}, "nothing"}
-	SnapshotWritten  = Event{2003, zerolog.InfoLevel, "snapshot written to the log", []string{"offset", "bytes"}, "nothing"}
+	SnapshotWritten  = Event{2003, zerolog.InfoLevel, "snapshot written to the log", []string{"offset"}, "nothing"}
 	SnapshotRestored = Event{2004, zerolog.InfoLevel, "state restored from a snapshot", []string{"offset"}, "nothing"}
-	SnapshotFailed   = Event{2005, zerolog.WarnLevel, "snapshot could not be written", []string{"error"}, "if it repeats, see docs/operators.md, retention nearly used up"}
-	RecordSkipped    = Event{2006, zerolog.ErrorLevel, "a record of the log is malformed and was skipped", []string{"offset", "error"}, "find out who else writes to the log"}
+	SnapshotFailed   = Event{2005, zerolog.WarnLevel, "snapshot could not be written", nil, "if it repeats, see docs/operators.md, retention nearly used up"}
+	RecordSkipped    = Event{2006, zerolog.ErrorLevel, "a record of the log is malformed and was skipped", []string{"offset"}, "find out who else writes to the log"}
 	ConfigInForce    = Event{3001, zerolog.InfoLevel, "configuration in force", []string{"version", "preset"}, "nothing"}
 	KeyWithdrawn     = Event{3002, zerolog.InfoLevel, "key withdrawn on this VM", []string{"key_id"}, "nothing"}
 	OperatorRefused  = Event{3003, zerolog.WarnLevel, "operator's change refused", []string{"kind", "error"}, "read the error; what was in force stays"}
 	ViewStale        = Event{4001, zerolog.WarnLevel, "view is not fresh, keyed work is refused", []string{"age"}, "see docs/operators.md, a data centre is cut off"}
 	ViewFresh        = Event{4002, zerolog.InfoLevel, "view is fresh again", nil, "nothing"}
-	LeaseExtended    = Event{4003, zerolog.InfoLevel, "lease renewed by the peers during an outage of the log", nil, "nothing"}
 	LeaseLapsed      = Event{4004, zerolog.WarnLevel, "lease on grants lapsed", nil, "see docs/operators.md, a data centre is cut off"}
 	MemberFenced     = Event{4005, zerolog.WarnLevel, "another entry VM was fenced", []string{"vm", "incarnation"}, "nothing if it was replaced; otherwise find out why it is gone"}
 	ServerEjected    = Event{5001, zerolog.WarnLevel, "backend server left out because its tasks fail", []string{"server"}, "look at the server; drain it if it does not recover"}
@@ -48,11 +47,8 @@
 	DrainEmpty       = Event{6002, zerolog.InfoLevel, "server is empty and reboots", []string{"server", "wave"}, "nothing"}
 	DrainDone        = Event{6003, zerolog.InfoLevel, "server is back in service", []string{"server", "wave"}, "nothing"}
 	DrainGivenUp     = Event{6004, zerolog.WarnLevel, "drain given up to keep an availability budget", []string{"server", "wave", "reason"}, "nothing; it is tried again later"}
-	DrainRefused     = Event{6005, zerolog.InfoLevel, "drain slot refused by the fold", []string{"server", "reason"}, "nothing"}
 	MoveStarted      = Event{6101, zerolog.InfoLevel, "move started", []string{"server", "from", "to"}, "nothing"}
 	MoveDone         = Event{6102, zerolog.InfoLevel, "move done", []string{"server", "to"}, "nothing"}
-	MoveAbandoned    = Event{6103, zerolog.WarnLevel, "move abandoned", []string{"server", "reason"}, "nothing"}
-	StandInNote      = Event{9001, zerolog.InfoLevel, "stand-in", []string{"note"}, "nothing; it serves tests only"}
 )
 
 // All returns every event in the order of its number.
@@ -61,10 +57,10 @@
 		Started, Ready, Draining, Stopped, ShutdownCut, FatalError, FencedSelf,
 		LogUnreadable, LogReadable, SnapshotWritten, SnapshotRestored, SnapshotFailed, RecordSkipped,
 		ConfigInForce, KeyWithdrawn, OperatorRefused,
-		ViewStale, ViewFresh, LeaseExtended, LeaseLapsed, MemberFenced,
+		ViewStale, ViewFresh, LeaseLapsed, MemberFenced,
 		ServerEjected, ServerDown, ServerUp, AnswerRejected,
-		DrainStarted, DrainEmpty, DrainDone, DrainGivenUp, DrainRefused,
-		MoveStarted, MoveDone, MoveAbandoned, StandInNote,
+		DrainStarted, DrainEmpty, DrainDone, DrainGivenUp,
+		MoveStarted, MoveDone,
 	}
 }
 
