Stay not ready for a while before a planned stop refuses requests

A stopping VM is now not ready for stop_delay (3 s) but goes on taking requests, and its answers end their connections. Ruled out: closing the listener first, since the balancer would still send. A request sent on a connection that was idle for the whole delay can still meet its end; its caller repeats it with the same id.

--- a/callerapi/callerapi.go
+++ b/callerapi/callerapi.go
@@ -28,6 +28,9 @@
 	HeaderErrorKind  = "Comfrey-Error-Kind"
 )
 
+// ReadyPath is the path at which a load balancer asks whether this VM takes new work.
+const ReadyPath = "/readyz"
+
 // Engine is the part of entry.Engine that callers use.
 type Engine interface {
 	Handle(ctx context.Context, req entry.Request) entry.Response
@@ -73,7 +76,7 @@
 	e.GET("/v1/requests/:id", s.lookup)
 	e.POST("/v1/request-ids", s.issue)
 	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
-	e.GET("/readyz", s.ready)
+	e.GET(ReadyPath, s.ready)
 	return e
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -99,6 +100,7 @@
 	Options
 	store       *fleet.Store
 	incarnation string
+	stopping    atomic.Bool // a planned stop has begun
 	listeners   struct{ caller, operator, peer net.Listener }
 }
 
@@ -216,7 +218,7 @@
 	p := need[*peers](l, servicePeers)
 	m := need[*metrics.Metrics](l, serviceMetrics)
 	return logclient.NewFollower(logclient.FollowerOptions{
-		Log: platform, Store: d.store, Fallback: p.Exchange, Count: logging(d.Logger, m),
+		Log: platform, Store: d.store, Fallback: p.Exchange, Count: d.logging(m),
 	}), nil
 }
 
@@ -225,7 +227,7 @@
 	p := need[*peers](l, servicePeers)
 	m := need[*metrics.Metrics](l, serviceMetrics)
 	return logclient.NewWriter(logclient.WriterOptions{
-		Log: platform, Store: d.store, Incarnation: d.incarnation, Fallback: p.Exchange, Count: logging(d.Logger, m),
+		Log: platform, Store: d.store, Incarnation: d.incarnation, Fallback: p.Exchange, Count: d.logging(m),
 	}), nil
 }
 
@@ -234,7 +236,7 @@
 	f := need[*logclient.Follower](l, serviceFollower)
 	m := need[*metrics.Metrics](l, serviceMetrics)
 	return logclient.NewSnapshotter(logclient.SnapshotterOptions{
-		Store: d.store, Submitter: w, Incarnation: d.incarnation, First: f.First, Count: logging(d.Logger, m),
+		Store: d.store, Submitter: w, Incarnation: d.incarnation, First: f.First, Count: d.logging(m),
 	}), nil
 }
 
@@ -259,11 +261,26 @@
 	o.MaxBody = d.Settings.Limits.MaxBodyBytes
 	return &httpService{
 		listener: netutil.LimitListener(d.listeners.caller, d.Settings.Limits.MaxCallerConnections),
-		handler:  callerapi.New(e, o),
+		handler:  d.closing(callerapi.New(e, o)),
 		grace:    callerGrace,
 	}, nil
 }
 
+// closing makes answers end their connections once the VM is about to stop, so that no caller sends its next request on a connection that
+// is closed just then.
+func (d *daemon) closing(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.stopping.Load() {
+			w.Header().Set("Connection", "close")
+			if r.URL.Path == callerapi.ReadyPath {
+				http.Error(w, "stopping", http.StatusServiceUnavailable)
+				return
+			}
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 func (d *daemon) newOperators(l kernel.Lookup) (any, error) {
 	m := need[*metrics.Metrics](l, serviceMetrics)
 	v := d.newView(l)
--- a/daemon/engine.go
+++ b/daemon/engine.go
@@ -102,6 +102,9 @@
 	<-ctx.Done()
 	logger := s.daemon.Logger
 	events.Log(logger, events.Draining, s.running())
+	// Requests are still taken until the load balancer has seen that the VM is not ready.
+	s.daemon.stopping.Store(true)
+	time.Sleep(s.daemon.Settings.StopDelay)
 	wait, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.daemon.Settings.DrainTimeout)
 	defer cancel()
 	err := s.engine.Shutdown(wait)
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -24,7 +24,7 @@
 // Preset is one of the operators' few modes of running the fleet.
 type Preset struct {
 	Description string `json:"description,omitempty"`
-	// PoolSizes is the wanted number of VMs per pool. Pools not named keep what they have.
+	// PoolSizes is the wanted number of VMs per pool. Pools not named get the number that was declared for them.
 	PoolSizes map[string]int `json:"pool_sizes,omitempty"`
 	// Maintenance says whether VMs may be drained for maintenance.
 	Maintenance bool `json:"maintenance"`
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -195,6 +195,7 @@
 operator_address: 127.0.0.1:0
 peer_address: 127.0.0.1:0
 platform_address: %s
+stop_delay: 500ms
 peers: [%s]
 `
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -33,7 +33,9 @@
 	OperatorTokenSHA256 string `yaml:"operator_token_sha256"`
 	// DrainTimeout bounds how long a planned stop waits for the VM's requests.
 	DrainTimeout time.Duration `yaml:"drain_timeout"`
-	Limits       Limits        `yaml:"limits"`
+	// StopDelay is how long a planned stop goes on taking requests after it has become not ready, for the load balancer to notice.
+	StopDelay time.Duration `yaml:"stop_delay"`
+	Limits    Limits        `yaml:"limits"`
 }
 
 // Limits bound the memory and the connections of one entry VM.
@@ -59,6 +61,7 @@
 const (
 	DefaultLogLevel     = "info"
 	DefaultDrainTimeout = 60 * time.Second
+	DefaultStopDelay    = 3 * time.Second
 )
 
 // DefaultLimits returns limits for a fleet of 6 to 9 small entry VMs. Waiting bodies and kept answers take at most
@@ -90,7 +93,7 @@
 
 // Parse decodes and checks the content of a settings file. The file name is used in messages only.
 func Parse(file string, data []byte) (Settings, error) {
-	s := Settings{LogLevel: DefaultLogLevel, DrainTimeout: DefaultDrainTimeout, Limits: DefaultLimits()}
+	s := Settings{LogLevel: DefaultLogLevel, DrainTimeout: DefaultDrainTimeout, StopDelay: DefaultStopDelay, Limits: DefaultLimits()}
 	places, problems := strictyaml.Decode(file, data, &s)
 	if places == nil {
 		return Settings{}, errkind.Wrap(errkind.InvalidConfig, problems.Err())
@@ -167,6 +170,9 @@
 	if s.DrainTimeout <= 0 {
 		c.add("drain_timeout", "must be above 0")
 	}
+	if s.StopDelay < 0 {
+		c.add("stop_delay", "must be 0 or more")
+	}
 }
 
 // sha256Bytes is the length of a SHA-256.
