--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,8 +15,10 @@
 	"example.org/comfreyrouter/backend"
 	"example.org/comfreyrouter/callerapi"
 	"example.org/comfreyrouter/entry"
+	"example.org/comfreyrouter/errkind"
 	"example.org/comfreyrouter/events"
 	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/internal/httpserve"
 	"example.org/comfreyrouter/kernel"
 	"example.org/comfreyrouter/logclient"
 	"example.org/comfreyrouter/metrics"
@@ -42,6 +44,7 @@
 	serviceCallers   = "callers"
 	serviceOperators = "operators"
 	serviceDrain     = "drain"
+	serviceWatch     = "watch"
 )
 
 // Options are what a daemon is made from.
@@ -75,11 +78,15 @@
 		}
 	}
 	s := o.Settings
-	events.Log(o.Logger, events.Started, s.Name, s.DataCentre, d.incarnation)
+	a := d.addresses()
+	events.Log(o.Logger, events.Started, s.Name, s.DataCentre, d.incarnation, a.Caller, a.Operator, a.Peer)
 	if o.Listening != nil {
-		o.Listening(d.addresses())
+		o.Listening(a)
 	}
 	err := k.Run(ctx)
+	if errkind.Of(err) == errkind.Fenced {
+		events.Log(o.Logger, events.FencedSelf, d.incarnation)
+	}
 	if err != nil {
 		events.Log(o.Logger, events.FatalError, err)
 		return err
@@ -153,13 +160,14 @@
 			Needs: []string{serviceStore, serviceWriter, serviceBackend, serviceLog, serviceEngine, serviceFollower, servicePeers},
 			New:   d.newReconciler,
 		},
+		{Name: serviceWatch, Needs: []string{serviceStore, serviceEngine, serviceFollower}, New: d.newWatch},
 		{Name: serviceCallers, Needs: []string{serviceEngine}, New: d.newCallers},
 		{
 			Name:  serviceOperators,
 			Needs: []string{serviceMetrics, serviceStore, serviceWriter, serviceEngine, serviceFollower, servicePeers},
 			New:   d.newOperators,
 		},
-		{Name: serviceDrain, Needs: []string{serviceEngine, serviceCallers, serviceOperators, servicePeerRPC, serviceReconcile, serviceSnapshots}, New: d.newDrain},
+		{Name: serviceDrain, Needs: []string{serviceEngine, serviceCallers, serviceOperators, servicePeerRPC, serviceReconcile, serviceSnapshots, serviceWatch}, New: d.newDrain},
 	}
 }
 
@@ -242,35 +250,20 @@
 	}), nil
 }
 
-// serve serves HTTP on a listener until ctx ends, and then finishes the calls in progress.
-func serve(ctx context.Context, l net.Listener, h http.Handler) error {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-	stopped := make(chan error, 1)
-	stop := context.AfterFunc(ctx, func() {
-		wait, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
-		defer cancel()
-		stopped <- server.Shutdown(wait)
-	})
-	err := server.Serve(l)
-	if stop() {
-		return err
-	}
-	return <-stopped
-}
-
-const (
-	readHeaderTimeout = 10 * time.Second
-	closeTimeout      = 5 * time.Second
-)
+// callerGrace is how long answers have to reach their callers after a stop. Requests have been finished by the drain service before.
+const callerGrace = 2 * time.Second
 
 // httpService serves HTTP as a service of the kernel.
 type httpService struct {
 	listener net.Listener
 	handler  http.Handler
+	grace    time.Duration // for calls in progress at a stop
 }
 
 // Run serves until ctx ends.
-func (s *httpService) Run(ctx context.Context) error { return serve(ctx, s.listener, s.handler) }
+func (s *httpService) Run(ctx context.Context) error {
+	return httpserve.Serve(ctx, s.listener, s.handler, s.grace)
+}
 
 func (d *daemon) newCallers(l kernel.Lookup) (any, error) {
 	e, err := kernel.Get[*entry.Engine](l, serviceEngine)
@@ -282,6 +275,7 @@
 	return &httpService{
 		listener: netutil.LimitListener(d.listeners.caller, d.Settings.Limits.MaxCallerConnections),
 		handler:  callerapi.New(e, o),
+		grace:    callerGrace,
 	}, nil
 }
 
@@ -302,7 +296,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", parts.metrics.Handler())
 	mux.Handle("/", api)
-	return &httpService{listener: netutil.LimitListener(d.listeners.operator, d.Settings.Limits.MaxOperatorConnections), handler: mux}, nil
+	return &httpService{listener: netutil.LimitListener(d.listeners.operator, d.Settings.Limits.MaxOperatorConnections), handler: mux, grace: operatorapi.CloseGrace}, nil
 }
 
 func (d *daemon) newReconciler(l kernel.Lookup) (any, error) {
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"example.org/comfreyrouter/entry"
-	"example.org/comfreyrouter/errkind"
 	"example.org/comfreyrouter/events"
 	"example.org/comfreyrouter/fleet"
 	"example.org/comfreyrouter/kernel"
@@ -19,11 +17,9 @@
 	"example.org/comfreyrouter/peer"
 )
 
-// platform is the platform's client with the last list of VMs kept for those that must not wait for it.
+// platform is the platform's client, with the list of VMs as the reconciler reads it.
 type platform struct {
 	*logclient.HTTP
-	mu   sync.Mutex
-	last map[string]logclient.VMState
 }
 
 func newPlatform(h *logclient.HTTP) *platform { return &platform{HTTP: h} }
@@ -200,14 +196,9 @@
 
 // logging counts the events of the log client and notes those that an operator should see.
 func logging(logger zerolog.Logger, m *metrics.Metrics) logclient.CountFunc {
-	var down atomic.Bool
 	return func(e logclient.Event) {
 		m.LogEvent(e)
 		switch e {
-		case logclient.EventReadFailed:
-			if !down.Swap(true) {
-				events.Log(logger, events.LogUnreadable, errkind.LogUnavailable)
-			}
 		case logclient.EventRestored, logclient.EventPeerSnapshot:
 			events.Log(logger, events.SnapshotRestored)
 		case logclient.EventSnapshotWritten:
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
 	"example.org/comfreyrouter/backend"
 	"example.org/comfreyrouter/errkind"
+	"example.org/comfreyrouter/events"
 	"example.org/comfreyrouter/fairshare"
 	"example.org/comfreyrouter/routing"
 )
@@ -83,7 +86,7 @@
 	switch {
 	case len(e.candidatesLocked(c.queue.Pool, now)) == 0:
 		return errkind.New(errkind.NoBackendServer, "no backend server of pool %q took work until the deadline", c.queue.Pool)
-	case e.holder.Running(c.team) >= e.holder.Allowed(c.team, now):
+	case !e.holder.MayStart(c.team, now):
 		return errkind.New(errkind.LimitReached, "team %q ran as much as its grant allows until the deadline", c.team)
 	}
 	return errDeadline
@@ -118,15 +121,26 @@
 	}
 }
 
-// dispatchLocked starts as many waiting calls of a pool as limits, slots and shares allow.
+// dispatchLocked starts as many waiting calls of a pool as limits, slots and shares allow: first on the pool's own servers, then urgent ones on the
+// spare pools' servers.
 func (e *Engine) dispatchLocked(pool string) {
 	q := e.queues[pool]
 	if q == nil || q.Len() == 0 || !e.joined {
 		return
 	}
 	now := time.Now()
-	servers := e.candidatesLocked(pool, now)
-	view := e.fairViewLocked(pool, servers, now)
+	own := e.candidatesLocked(pool, now)
+	e.fillLocked(q, own, e.fairViewLocked(pool, own, now), now)
+	if q.Len() == 0 {
+		return
+	}
+	if spare := e.lendableLocked(pool, now); len(spare) > 0 {
+		e.fillLocked(q, spare, lentView(e.fairViewLocked(pool, spare, now)), now)
+	}
+}
+
+// fillLocked starts waiting calls on servers. Calls that find no server go back to their queue.
+func (e *Engine) fillLocked(q *fairshare.Queue, servers []routing.Server, view fairshare.View, now time.Time) {
 	var aside []fairshare.Item
 	for {
 		item, ok := q.Next(view)
@@ -154,6 +168,25 @@
 	}
 }
 
+// lendableLocked returns the servers of the spare pools that may take work of a full pool.
+func (e *Engine) lendableLocked(pool string, now time.Time) []routing.Server {
+	var servers []routing.Server
+	config := e.options.Store.Config()
+	for _, name := range slices.Sorted(maps.Keys(config.Pools)) {
+		if config.Pools[name].Spare && name != pool {
+			servers = append(servers, e.candidatesLocked(name, now)...)
+		}
+	}
+	return servers
+}
+
+// lentView keeps the preset's reserve of the spare pools free for their own queues, and lends to urgent work only.
+func lentView(v fairshare.View) fairshare.View {
+	v.Free -= v.Reserve
+	v.Reserve = v.Free
+	return v
+}
+
 func (e *Engine) fairViewLocked(pool string, servers []routing.Server, now time.Time) fairshare.View {
 	config := e.options.Store.Config()
 	view := fairshare.View{Shares: map[string]int{}, Running: map[string]int{}}
@@ -169,7 +202,7 @@
 		}
 	}
 	view.Reserve = slots * config.Preset().ReservePercent / 100
-	view.MayStart = func(team string) bool { return e.holder.Running(team) < e.holder.Allowed(team, now) }
+	view.MayStart = func(team string) bool { return e.holder.MayStart(team, now) }
 	return view
 }
 
@@ -188,8 +221,7 @@
 		call: c, pool: c.queue.Pool, team: c.team, server: name, address: s.address,
 		fence: e.member.Fence, number: e.nextTask, repeatable: c.kind == repeatable,
 	}
-	firm := e.holder.Running(c.team) <= e.grants[c.team].Firm
-	t.leaseEnd = e.taskLeaseEndLocked(firm, now)
+	t.leaseEnd = e.holder.TaskEnd(c.team, e.holder.Running(c.team)-1, now)
 	e.tasks[t.id] = t
 	e.local[name]++
 	if e.running[t.pool] == nil {
@@ -207,15 +239,6 @@
 	}}
 }
 
-// taskLeaseEndLocked returns the end of a task's lease. Only a task within the firm grant may outlive the holder's lease.
-func (e *Engine) taskLeaseEndLocked(firm bool, now time.Time) time.Time {
-	end := now.Add(e.options.Limits.TaskLease)
-	if lease := e.holder.LeaseEnd(); !firm && lease.Before(end) {
-		return lease
-	}
-	return end
-}
-
 // endLocked counts a task out and starts what waited for its slot.
 func (e *Engine) endLocked(t *task) {
 	if _, ok := e.tasks[t.id]; !ok {
@@ -296,6 +319,15 @@
 // taskEnded counts the task out if its end is confirmed. Otherwise the task counts until its lease, which is not renewed any
 // more, has run out on the server.
 func (e *Engine) taskEnded(c *call, a assignment, err error, runTime time.Duration) {
+	if errkind.Of(err) == errkind.AnswerCorrupt {
+		events.Log(e.options.Logger, events.AnswerRejected, a.server, err)
+	}
+	ejected := false
+	defer func() {
+		if ejected {
+			events.Log(e.options.Logger, events.ServerEjected, a.server)
+		}
+	}()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
@@ -310,14 +342,16 @@
 	case checkpointed:
 	case k == "":
 		e.runTimes.Observe(c.req.Queue, c.team, runTime)
-		e.health.Report(a.server, true, e.byPool[a.task.pool], now)
+		e.reportLocked(a.server, true, now)
 	case k == errkind.BackendRefused:
 		e.refusedLocked(a.server, now)
 		if errors.Is(err, backend.ErrOtherBoot) {
 			e.forgetClockLocked(a.server, a.send.BootID)
 		}
 	case c.ctx.Err() == nil && !a.task.stopping:
-		e.health.Report(a.server, false, e.byPool[a.task.pool], now)
+		before := e.health.Ejected(a.server, now)
+		e.reportLocked(a.server, false, now)
+		ejected = !before && e.health.Ejected(a.server, now)
 	}
 	if k == "" || k == errkind.BackendRefused || k == errkind.BackendFailed {
 		e.endLocked(a.task)
@@ -330,3 +364,10 @@
 		e.endLocked(a.task)
 	})
 }
+
+// reportLocked notes the end of a task for the health of its server, among the servers of the server's own pool.
+func (e *Engine) reportLocked(name string, ok bool, now time.Time) {
+	if s, known := e.servers[name]; known {
+		e.health.Report(name, ok, e.byPool[s.pool], now)
+	}
+}
--- a/fleet/apply_config_test.go
+++ b/fleet/apply_config_test.go
@@ -25,9 +25,9 @@
 func TestConfigureKeepsBudgetsAndPools(t *testing.T) {
 	s, err := samplefleet.State(samplefleet.Size{Servers: 8, Pools: 2, Teams: 1, EntryVMs: 1, DataCentres: 1, Regions: 1})
 	require.NoError(t, err)
-	r := configure(s, "a", removeServer("server-000"), removeServer("server-002"), removeServer("server-004"))
-	assert.Equal(t, errkind.BudgetExceeded, r.Kind, "the pool needs two of its four VMs")
-	assert.True(t, configure(s, "b", removeServer("server-000"), removeServer("server-002")).OK())
+	r := configure(s, "a", removeServer("server-000"), removeServer("server-002"))
+	assert.Equal(t, errkind.BudgetExceeded, r.Kind, "one VM of the pool may be out at a time")
+	assert.True(t, configure(s, "b", removeServer("server-000")).OK())
 
 	moved := s.VMs["server-001"]
 	moved.MoveTo, moved.Phase = "pool-000", fleet.Moving
@@ -59,3 +59,16 @@
 	again := fleet.Change{GiveKey: &fleet.Object[fleet.Key]{Name: id, Value: &fleet.Key{Team: "team-01", Hash: s.Config.Keys[id].Hash}}}
 	assert.False(t, configure(s, "c", again).OK())
 }
+
+// TestChangeGrantsFirmPartsAtOnce guards against a team that is declared after the entry VMs have joined and has no grant when the log goes
+// down before their next renewal.
+func TestChangeGrantsFirmPartsAtOnce(t *testing.T) {
+	s, err := samplefleet.State(samplefleet.Size{Servers: 8, Pools: 2, Teams: 1, EntryVMs: 2, DataCentres: 1, Regions: 1})
+	require.NoError(t, err)
+	join := fleet.Command{Join: &fleet.Join{VM: samplefleet.EntryVM(0), DataCentre: "dc-0"}}
+	require.True(t, s.Apply(s.Offset+1, fleet.Batch{Writer: "01M", Seq: 1, Commands: []fleet.Command{join}})[0].OK())
+	late := fleet.Team{Share: 1, Limit: 5, FirmPerEntryVM: 2}
+	require.True(t, configure(s, "a", fleet.Change{Team: &fleet.Object[fleet.Team]{Name: "late", Value: &late}}).OK())
+	assert.Equal(t, 2, s.GrantOf("late", "01M").Firm)
+	assert.LessOrEqual(t, s.Granted("late"), late.Limit)
+}
