Do not call a request not run that ran before its last attempt was refused

Cause: an answer after several attempts was made from the error of the last one. A request that had run and was checkpointed, or whose attempt had failed, got 'not run' if all later attempts were refused before the start.

Change: the error of the last attempt that may have started is kept apart.

TestRefusedAfterStart got not_run before, and gets unknown.

--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -56,6 +56,7 @@
 	k := errkind.Of(err)
 	c.lastErr = err
 	if routing.Started(k) {
+		c.failure = err
 		c.attempts++
 		c.refusals = 0
 	} else {
@@ -93,7 +94,7 @@
 	c.req.Body = checkpoint.State
 	c.resume = true
 	c.exclude = nil
-	c.lastErr = errkind.New(errkind.Checkpointed, "the task was checkpointed and did not resume before the deadline")
+	c.failure = errkind.New(errkind.Checkpointed, "the task was checkpointed and did not resume before the deadline")
 	e.options.Counters.Retried(errkind.Checkpointed)
 	return true
 }
@@ -114,9 +115,9 @@
 	case errors.Is(context.Cause(c.ctx), errDeadline) && c.kind == repeatable:
 		return failed(errkind.RequestTimeout, "the deadline passed while the task ran")
 	case c.attempts >= routing.MaxAttempts:
-		return failed(errkind.AttemptsExhausted, "%d attempts failed, the last one with: %v", c.attempts, c.lastErr)
+		return failed(errkind.AttemptsExhausted, "%d attempts failed, the last one with: %v", c.attempts, c.failure)
 	}
-	return failure(c.lastErr)
+	return failure(c.failure)
 }
 
 // endWaiting ends a call that waits for a server.
--- a/entry/engine.go
+++ b/entry/engine.go
@@ -159,7 +159,7 @@
 	remoteRunning map[string]map[string]int
 	withdrawn     map[string]bool
 	heard         map[string]keys.PeerView // what others said in their heartbeats, by incarnation
-	freshUntil    time.Time // until when keys may be accepted on this VM's view
+	freshUntil    time.Time                // until when keys may be accepted on this VM's view
 }
 
 // New returns an engine. Run drives it.
--- a/entry/engine_test.go
+++ b/entry/engine_test.go
@@ -350,6 +350,30 @@
 	})
 }
 
+// TestRefusedAfterStart guards that a request that was checkpointed, or failed once, is not called not run because all later attempts
+// were refused.
+func TestRefusedAfterStart(t *testing.T) {
+	for name, first := range map[string]error{
+		"checkpointed": &backend.Checkpoint{State: []byte("half")},
+		"failed":       errkind.New(errkind.BackendFailed, "as the test wants it"),
+	} {
+		withNodes(t, 4, func(t *testing.T, a, _ *node) {
+			starts := 0
+			a.backend.setRun(func(context.Context, backend.Task) ([]byte, error) {
+				starts++
+				if starts == 1 {
+					return nil, first
+				}
+				return nil, errkind.New(errkind.BackendRefused, "as the test wants it")
+			})
+			req := order("sheet")
+			req.Repeatable = name == "failed"
+			resp := a.Handle(t.Context(), req)
+			assert.Equal(t, errkind.Unknown, resp.Outcome, name+": "+resp.Message)
+		})
+	}
+}
+
 // TestUrgentStartsInTime guards the 3.1 s within which urgent work starts while overnight work fills the pool.
 func TestUrgentStartsInTime(t *testing.T) {
 	withNodes(t, 32, func(t *testing.T, a, _ *node) {
--- a/entry/request.go
+++ b/entry/request.go
@@ -72,9 +72,10 @@
 	claimed bool // the claim is this VM's
 	// confirmed says that the log confirmed, after the call had come, that its key is unknown or missing.
 	confirmed bool
-	attempts  int // attempts that may have started
-	refusals  int // attempts refused before the start, in a row
-	lastErr   error
+	attempts  int             // attempts that may have started
+	refusals  int             // attempts refused before the start, in a row
+	lastErr   error           // of the last attempt
+	failure   error           // of the last attempt that may have started: a later refusal does not undo it
 	exclude   map[string]bool // the server that failed last
 	assigned  chan assignment
 	item      fairshare.Item
--- /dev/null
+++ b/res
@@ -0,0 +1,1 @@
+== shallow copy of waves:  : 
