Checkpoint the overnight task of the team furthest above its share

Cause: the engine checkpointed the newest overnight task, whatever its team, and also while slots were free.

Changed: fairshare.Preempt chooses, with the pool's usage. Lost tasks count as stopping, because their slots become free without a checkpoint. Heartbeats carry neither the peers' overdue requests nor their overnight tasks, so the VM uses its own knowledge of both; the code says so.

Measured: on the code before, TestPreemptionSparesTheTeamBelowItsShare saw the team below its share lose one of its two tasks.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -25,6 +25,7 @@
 	address    string
 	fence      uint64
 	number     uint64 // order of starts
+	startedAt  time.Time
 	leaseEnd   time.Time
 	lost       bool // its lease is not renewed any more
 	stopping   bool
@@ -230,7 +231,7 @@
 	t := &task{
 		id:   e.options.Incarnation + "-" + strconv.FormatUint(e.nextTask, 10),
 		call: c, pool: c.queue.Pool, team: c.team, server: name, address: s.address,
-		fence: e.member.Fence, number: e.nextTask, repeatable: c.kind == repeatable,
+		fence: e.member.Fence, number: e.nextTask, startedAt: now, repeatable: c.kind == repeatable,
 	}
 	t.leaseEnd = e.holder.TaskEnd(c.team, e.holder.Running(c.team)-1, now)
 	e.tasks[t.id] = t
--- a/entry/preempt.go
+++ b/entry/preempt.go
@@ -1,36 +1,32 @@
 package entry
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
+	"example.org/comfreyrouter/fairshare"
 	"example.org/comfreyrouter/fleet"
 )
 
-// preemptAfter is how long urgent work waits before overnight work is checkpointed for it. Urgent work must start within 3.1 s.
-const preemptAfter = time.Second
-
-// preemptLocked checkpoints this VM's newest overnight tasks of a pool, one for each urgent request that has waited too long for
-// a slot. Requests that wait for their team's limit are left out: a slot would not help them.
+// preemptLocked checkpoints overnight tasks of this VM for urgent requests that have waited too long for a slot. Requests that wait for
+// their team's limit are left out: a slot would not help them. Heartbeats carry neither the peers' overdue requests nor their overnight
+// tasks, so the VM knows only its own of both: it makes room for its own requests from its own tasks.
 func (e *Engine) preemptLocked(now time.Time) {
-	needed := map[string]int{}
+	overdue := map[string]int{}
 	for _, c := range e.calls {
 		limited := !e.holder.MayStart(c.team, now)
-		if c.queue.Class == fleet.Urgent && now.Sub(c.began) > preemptAfter && !limited {
-			needed[c.queue.Pool]++
+		if c.queue.Class == fleet.Urgent && now.Sub(c.began) > fairshare.PreemptAfter && !limited {
+			overdue[c.queue.Pool]++
 		}
 	}
-	for pool, n := range needed {
-		for _, t := range e.overnightLocked(pool) {
-			if n <= 0 {
-				break
-			}
-			n--
-			if !t.stopping && !t.lost {
-				t.stopping = true
-				go e.stopAbove(t)
-			}
+	shares := sharesOf(e.options.Store.Config())
+	for pool, n := range overdue {
+		_, free := capacityOf(e.candidatesLocked(pool, now))
+		usage := e.sharesLocked(pool).usage.Excess(now)
+		urgency := fairshare.Urgency{Overdue: n, Free: free}
+		for _, id := range fairshare.Preempt(urgency, e.overnightLocked(pool), usage, shares) {
+			t := e.tasks[id]
+			t.stopping = true
+			go e.stopAbove(t)
 		}
 	}
 }
@@ -48,22 +44,15 @@
 	}
 }
 
-// overnightLocked returns the overnight tasks of a pool, those that are stopping already first, then the newest.
-func (e *Engine) overnightLocked(pool string) []*task {
-	var tasks []*task
+// overnightLocked returns the overnight tasks of a pool. The slots of lost ones become free without a checkpoint.
+func (e *Engine) overnightLocked(pool string) []fairshare.RunningTask {
+	var tasks []fairshare.RunningTask
 	for _, t := range e.tasks {
 		if t.pool == pool && t.call.queue.Class == fleet.Overnight {
-			tasks = append(tasks, t)
+			tasks = append(tasks, fairshare.RunningTask{
+				ID: t.id, Team: t.team, Started: t.startedAt, Checkpointing: t.stopping || t.lost,
+			})
 		}
 	}
-	slices.SortFunc(tasks, func(a, b *task) int {
-		if a.stopping != b.stopping {
-			if a.stopping {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(b.number, a.number)
-	})
 	return tasks
 }
--- a/entry/wiring_test.go
+++ b/entry/wiring_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"example.org/comfreyrouter/fleet"
 	"github.com/stretchr/testify/require"
 
+	"example.org/comfreyrouter/backend"
 	"example.org/comfreyrouter/errkind"
 )
 
@@ -17,6 +19,18 @@
 	change()
 }
 
+func (b *fakeBackend) runningOf(team string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.running[team]
+}
+
+func (b *fakeBackend) refusalsOf(address string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.full[address]
+}
+
 func (b *fakeBackend) usedOf(address string) int {
 	count := 0
 	for _, used := range b.addresses() {
@@ -49,7 +63,7 @@
 			require.Equal(t, 5*time.Millisecond, time.Since(sent), "a refused request goes to the other server at once")
 		}
 		held := int(time.Since(began)/(50*time.Millisecond)) + 1
-		require.LessOrEqual(t, a.backend.full[s1], held, "one refusal for each mark of 50 ms")
+		require.LessOrEqual(t, a.backend.refusalsOf(s1), held, "one refusal for each mark of 50 ms")
 		a.backend.set(func() { a.backend.full = nil })
 		time.Sleep(60 * time.Millisecond)
 		for range 30 {
@@ -203,3 +217,28 @@
 	}
 	return held
 }
+
+// TestPreemptionSparesTheTeamBelowItsShare guards against the choice of the newest overnight task whatever its team: the task of a team
+// below its share lost its slot to urgent work while a team above its share kept all of its own.
+func TestPreemptionSparesTheTeamBelowItsShare(t *testing.T) {
+	withNodes(t, 100, func(t *testing.T, a, _ *node) {
+		a.log.configure(1,
+			fleet.Change{Team: &fleet.Object[fleet.Team]{Name: "riks", Value: &fleet.Team{Share: 1, Limit: 100}}},
+			fleet.Change{Queue: &fleet.Object[fleet.Queue]{Name: "small", Value: &fleet.Queue{
+				Pool: "pricing", Class: fleet.Overnight, Open: true, Team: "riks",
+			}}})
+		a.backend.setRun(func(ctx context.Context, task backend.Task) ([]byte, error) {
+			<-ctx.Done()
+			return nil, &backend.Checkpoint{State: task.Body}
+		})
+		a.submitAll(t.Context(), "sheets", 14)
+		time.Sleep(time.Minute)
+		a.submitAll(t.Context(), "small", 10)
+		require.Equal(t, 2, a.backend.runningOf("riks"))
+		a.submitAll(t.Context(), "quotes", 1)
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 2, a.backend.runningOf("riks"))
+		require.Equal(t, 14, a.backend.read(a.backend.running), "13 overnight tasks and the urgent one")
+		require.Equal(t, 17, len(a.backend.addresses()), "one checkpoint")
+	})
+}
