Count every task that starts against its team's limit

Cause: a call stopped waiting before its task was counted. Where another VM wants more of the limit, a VM may start up to its fair share, which depends on what it needs; without the waiting call it needed nothing, so the holder refused to count the task, and the engine ignored that and started it.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -167,7 +167,10 @@
 			aside = append(aside, item)
 			continue
 		}
-		e.startLocked(c, servers[i].Name, now)
+		if !e.startLocked(c, servers[i].Name, now) {
+			aside = append(aside, item)
+			continue
+		}
 		c.probe = false
 		servers[i].Local++
 		view.Free--
@@ -223,10 +226,14 @@
 // time for which a withdrawn key still starts tasks, however long the network delays them.
 const startWithin = 2 * time.Second
 
-// startLocked counts a task against the team's limit and hands it to the waiting call.
-func (e *Engine) startLocked(c *call, name string, now time.Time) {
+// startLocked counts a task against the team's limit and hands it to the waiting call. It reports false, and starts nothing, if the limit does
+// not allow the task. The task is counted before the call stops waiting: the holder's fair share depends on what waits, and a task that it
+// did not count would let the team run above its limit.
+func (e *Engine) startLocked(c *call, name string, now time.Time) bool {
+	if !e.holder.Start(c.team, now) {
+		return false
+	}
 	e.poppedLocked(c)
-	e.holder.Start(c.team, now)
 	s := e.servers[name]
 	e.nextTask++
 	t := &task{
@@ -250,8 +257,12 @@
 	c.assigned <- assignment{server: name, task: t, send: backend.Task{
 		ID: t.id, Queue: c.req.Queue, Team: c.team, Class: c.queue.Class,
 		Holder: e.options.VM, Fence: t.fence, PoolEpoch: s.epoch,
-		BootID: s.clock.boot, StartUntil: s.clock.at(now.Add(startWithin), e.options.Limits.ClockRate), LeaseUntil: s.clock.at(t.leaseEnd, e.options.Limits.ClockRate), Body: c.req.Body, Resume: c.resume,
+		BootID:     s.clock.boot,
+		StartUntil: s.clock.at(now.Add(startWithin), e.options.Limits.ClockRate),
+		LeaseUntil: s.clock.at(t.leaseEnd, e.options.Limits.ClockRate),
+		Body:       c.req.Body, Resume: c.resume,
 	}}
+	return true
 }
 
 // endLocked counts a task out and starts what waited for its slot.
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -54,8 +54,11 @@
 		q.Return(item)
 		return
 	}
+	if !e.startLocked(c, servers[i].Name, now) {
+		q.Return(item)
+		return
+	}
 	prober.Sent(now)
-	e.startLocked(c, servers[i].Name, now)
 	c.probe = true
 }
 
