Let only enough and recent run times refuse requests

Cause: one task that ran 40 s on a faulty server made its VM refuse every request of the queue with a deadline of 30 s as hopeless, until 32 refusals later. Run times refuse now only after five tasks and within 30 s of the newest one. TestHopelessRequestIsRefusedEarly teaches five tasks instead of one; its expectations are unchanged.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -369,7 +369,7 @@
 	case checkpointed:
 		e.health.Inconclusive(a.server)
 	case k == "":
-		e.runTimes.Observe(c.req.Queue, c.team, runTime)
+		e.runTimes.Observe(c.req.Queue, c.team, runTime, now)
 		e.reportLocked(a.server, true, now)
 	case k == errkind.BackendRefused:
 		e.refusedLocked(a.server, err, now)
--- a/entry/wiring_test.go
+++ b/entry/wiring_test.go
@@ -124,8 +124,10 @@
 func TestHopelessRequestIsRefusedEarly(t *testing.T) {
 	withNodes(t, 100, func(t *testing.T, a, b *node) {
 		a.backend.setRun(takes(time.Second))
-		expect(t, a.Handle(t.Context(), again("teaches")), "", errkind.Done)
-		expect(t, b.Handle(t.Context(), again("teaches")), "", errkind.Done)
+		for range 5 { // fewer tasks refuse nothing
+			expect(t, a.Handle(t.Context(), again("teaches")), "", errkind.Done)
+			expect(t, b.Handle(t.Context(), again("teaches")), "", errkind.Done)
+		}
 		short := again("short")
 		short.TimeLeft = 500 * time.Millisecond
 		expect(t, a.Handle(t.Context(), short), errkind.DeadlineTooClose, errkind.NotRun)
--- a/routing/model_entry_test.go
+++ b/routing/model_entry_test.go
@@ -231,7 +231,7 @@
 		m.again(v, r)
 	case ok:
 		v.health.Report(m.pool[i], true, m.pool, m.clock())
-		v.times.Observe("queue", r.team.name, m.now-r.startAt)
+		v.times.Observe("queue", r.team.name, m.now-r.startAt, time.Unix(0, 0).Add(m.now))
 		m.done++
 		if r.team.deadline > 0 && m.now-r.arrived > r.team.deadline {
 			m.late++
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -13,6 +13,12 @@
 	"example.org/comfreyrouter/routing"
 )
 
+// runTimeLeastInTest is the number of tasks that teach a run time.
+const runTimeLeastInTest = 5
+
+// newest is the time of the tasks whose run times are learned.
+var newest = time.Unix(1000, 0)
+
 func TestMain(m *testing.M) { testenv.Main(m) }
 
 var (
@@ -147,13 +153,13 @@
 		r := routing.NewRunTimes()
 		require.Equal(t, declared, r.Estimate("q", "t", declared))
 		for i := range 4 {
-			r.Observe("q", "t", time.Duration(900+50*i)*time.Millisecond)
+			r.Observe("q", "t", time.Duration(900+50*i)*time.Millisecond, newest)
 		}
 		require.InDelta(t, time.Second, r.Estimate("q", "t", declared), float64(200*time.Millisecond))
 	}
 	r := routing.NewRunTimes()
 	for i := range 3000 {
-		r.Observe("q", string(rune('a'+i)), time.Second)
+		r.Observe("q", string(rune('a'+i)), time.Second, newest)
 	}
 	require.Equal(t, time.Minute, r.Estimate("q", "a", time.Minute), "the oldest is forgotten")
 	require.Equal(t, time.Second, r.Mean("q", string(rune('a'+2999)), time.Minute))
@@ -162,12 +168,16 @@
 // Guards against a queue that is refused for ever after its tasks were slow for a while: refused requests teach nothing.
 func TestDoubtForgetsSlowSpell(t *testing.T) {
 	r := routing.NewRunTimes()
-	r.Observe("q", "t", time.Minute)
-	require.True(t, r.Learned("q", "t"))
+	for range runTimeLeastInTest {
+		require.False(t, r.Learned("q", "t", newest), "a few slow tasks refuse nothing")
+		r.Observe("q", "t", time.Minute, newest)
+	}
+	require.True(t, r.Learned("q", "t", newest))
+	require.False(t, r.Learned("q", "t", newest.Add(time.Minute)), "old run times refuse nothing")
 	for range 32 {
 		r.Doubt("q", "t")
 	}
-	require.False(t, r.Learned("q", "t"))
+	require.False(t, r.Learned("q", "t", newest))
 	require.Equal(t, time.Second, r.Estimate("q", "t", time.Second))
 }
 
--- a/routing/runtimes.go
+++ b/routing/runtimes.go
@@ -11,6 +11,11 @@
 	runTimeMaxKeys = 1024
 	// runTimeQuantile is the part of recent tasks, in percent, that ended within the estimate.
 	runTimeQuantile = 90
+	// runTimeTrust is how long after the newest task the run times may refuse requests. Refused requests teach nothing, so without it a
+	// queue whose servers were slow for a while would refuse for long after.
+	runTimeTrust = 30 * time.Second
+	// runTimeLeast is the number of tasks that must have run before their run times may refuse requests: one slow task proves nothing.
+	runTimeLeast = 5
 )
 
 // RunTimes learns how long the tasks of a queue and team run, because declared run times can be far off.
@@ -23,17 +28,18 @@
 
 // runTimeRing holds the newest run times of one queue and team.
 type runTimeRing struct {
-	times  [runTimeWindow]time.Duration
-	count  int // run times noted so far
-	doubts int // refusals since the newest run time
-	used   uint64
+	times    [runTimeWindow]time.Duration
+	count    int // run times noted so far
+	doubts   int // refusals since the newest run time
+	newestAt time.Time
+	used     uint64
 }
 
 // NewRunTimes returns a RunTimes that has seen no task.
 func NewRunTimes() *RunTimes { return &RunTimes{seen: map[runTimeKey]*runTimeRing{}} }
 
-// Observe notes the run time of a task.
-func (r *RunTimes) Observe(queue, team string, d time.Duration) {
+// Observe notes the run time of a task that ended now.
+func (r *RunTimes) Observe(queue, team string, d time.Duration, now time.Time) {
 	key := runTimeKey{queue, team}
 	ring, ok := r.seen[key]
 	if !ok {
@@ -46,12 +52,13 @@
 	ring.times[ring.count%runTimeWindow] = d
 	ring.count++
 	ring.doubts = 0
+	ring.newestAt = now
 }
 
-// Learned reports whether the estimate comes from tasks that ran, and not from a declaration.
-func (r *RunTimes) Learned(queue, team string) bool {
-	_, ok := r.seen[runTimeKey{queue, team}]
-	return ok
+// Learned reports whether the estimate comes from enough tasks that ran lately, and not from a declaration or from long ago.
+func (r *RunTimes) Learned(queue, team string, now time.Time) bool {
+	ring, ok := r.seen[runTimeKey{queue, team}]
+	return ok && ring.count >= runTimeLeast && now.Sub(ring.newestAt) <= runTimeTrust
 }
 
 // Doubt notes that a request was refused because its estimated run time alone is longer than the time it has. Refused requests
