--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -208,6 +208,12 @@
 		s := status(size)
 		var buf bytes.Buffer
 		enc, dec := gob.NewEncoder(&buf), gob.NewDecoder(&buf)
+		require.NoError(b, enc.Encode(s.WithoutLoad()))
+		buf.Reset()
+		require.NoError(b, enc.Encode(s.WithoutLoad()))
+		light := buf.Len()
+		buf = bytes.Buffer{}
+		enc, dec = gob.NewEncoder(&buf), gob.NewDecoder(&buf)
 		bytesEach := 0
 		for b.Loop() {
 			require.NoError(b, enc.Encode(codec.Pack(s)))
@@ -218,6 +224,7 @@
 			require.True(b, ok)
 		}
 		b.ReportMetric(float64(bytesEach), "bytes/status")
+		b.ReportMetric(float64(light), "bytes/heartbeat")
 	})
 }
 
