--- a/ctl/lists.go
+++ b/ctl/lists.go
@@ -111,7 +111,8 @@
 	if err := s.get("/v1/pools", &list); err != nil {
 		return err
 	}
-	return s.print(list, []string{"NAME", "VMS", "AVAILABLE", "WANTED", "MIN", "MAX UNAVAILABLE", "SPARE"}, rowsOf(list, func(p operatorapi.PoolInfo) []string {
+	header := []string{"NAME", "VMS", "AVAILABLE", "WANTED", "MIN", "MAX UNAVAILABLE", "SPARE"}
+	return s.print(list, header, rowsOf(list, func(p operatorapi.PoolInfo) []string {
 		wanted := "-"
 		if p.Wanted != nil {
 			wanted = fmt.Sprint(*p.Wanted)
@@ -128,7 +129,8 @@
 	list.VMs = slices.DeleteFunc(list.VMs, func(v operatorapi.VMInfo) bool {
 		return s.options.pool != "" && v.VM.Pool != s.options.pool
 	})
-	return s.print(list, []string{"NAME", "POOL", "PHASE", "MOVES TO", "DOWN", "DATA CENTRE", "RACK", "ADDRESS"}, rowsOf(list.VMs, func(v operatorapi.VMInfo) []string {
+	header := []string{"NAME", "POOL", "PHASE", "MOVES TO", "DOWN", "DATA CENTRE", "RACK", "ADDRESS"}
+	return s.print(list, header, rowsOf(list.VMs, func(v operatorapi.VMInfo) []string {
 		return cells(v.Name, v.VM.Pool, v.VM.Phase, cmp.Or(v.VM.MoveTo, "-"), mark(v.VM.Down, "yes"), v.DataCentre, v.Rack, v.Address)
 	}))
 }
--- a/limits/holder.go
+++ b/limits/holder.go
@@ -114,7 +114,8 @@
 func (h *Holder) Giving(team string) bool { return h.team(team).giving }
 
 // Confirmed takes a state in which the commands of the last plan have been applied or cannot be any more. If their append
-// failed, any later batch of the same writer that has been applied shows this. Until then Plan gives no further commands and what was to be given back is not used.
+// failed, any later batch of the same writer that has been applied shows this. Until then Plan gives no further commands
+// and what was to be given back is not used.
 func (h *Holder) Confirmed(s *fleet.State, self string) {
 	h.Observe(s, self)
 	if !h.pending {
--- a/limits/watcher.go
+++ b/limits/watcher.go
@@ -16,7 +16,8 @@
 	fencedAt time.Time
 }
 
-// Watcher counts the leases of other members, from when this VM read the renewal, so that it never takes a grant that the holder still counts as its own.
+// Watcher counts the leases of other members, from when this VM read the renewal, so that it never takes a grant that the
+// holder still counts as its own.
 type Watcher struct {
 	options      Options
 	members      map[string]*watched
