Remove three settings without effect and give effect to two

Read-through: results_kept, results_kept_for and max_request_ids were checked and read by nobody; answers are bounded by bytes and issued ids by a constant. max_answer_bytes now bounds the answers of backend servers, and max_waiting_bytes the bodies that the callers' interface reads at one time.

--- a/backend/client.go
+++ b/backend/client.go
@@ -19,13 +19,15 @@
 	"example.org/comfreyrouter/errkind"
 )
 
-// maxAnswer is the largest answer that is taken from a backend server, in bytes.
-const maxAnswer = 8 << 20
+// defaultMaxAnswer is the largest answer that is taken from a backend server unless Options say otherwise, in bytes.
+const defaultMaxAnswer = 4 << 20
 
 // Options are the settings of a Client.
 type Options struct {
 	// MaxConnsPerServer bounds the connections to one backend server: its connections divided by the entry VMs.
 	MaxConnsPerServer int
+	// MaxAnswer is the largest answer that is taken, in bytes; 0 stands for 4 MiB.
+	MaxAnswer int64
 	// DialContext replaces the dialer, for tests.
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -34,7 +36,8 @@
 type Client struct {
 	http *http.Client
 	// control has connections of its own, so that status, leases and stops get through while all task connections are in use.
-	control *http.Client
+	control   *http.Client
+	maxAnswer int64
 }
 
 // idleTimeout is how long an unused connection is kept open.
@@ -42,9 +45,13 @@
 
 // New returns a client.
 func New(o Options) *Client {
+	if o.MaxAnswer == 0 {
+		o.MaxAnswer = defaultMaxAnswer
+	}
 	return &Client{
-		http:    &http.Client{Transport: transport(o, o.MaxConnsPerServer)},
-		control: &http.Client{Transport: transport(o, controlConns)},
+		maxAnswer: o.MaxAnswer,
+		http:      &http.Client{Transport: transport(o, o.MaxConnsPerServer)},
+		control:   &http.Client{Transport: transport(o, controlConns)},
 	}
 }
 
@@ -125,7 +132,7 @@
 		a.discard()
 		return nil, errkind.New(errkind.AnswerCorrupt, "the answer of %s belongs to task %q, not %q", address, got, t.ID)
 	}
-	body, err := readAnswer(resp)
+	body, err := c.readAnswer(resp)
 	if err != nil {
 		a.discard()
 		if ctx.Err() != nil {
@@ -164,8 +171,8 @@
 }
 
 // readAnswer returns the body if it has its announced length and digest.
-func readAnswer(resp *http.Response) ([]byte, error) {
-	if resp.ContentLength < 0 || resp.ContentLength > maxAnswer {
+func (c *Client) readAnswer(resp *http.Response) ([]byte, error) {
+	if resp.ContentLength < 0 || resp.ContentLength > c.maxAnswer {
 		return nil, fmt.Errorf("the answer has a length of %d bytes", resp.ContentLength)
 	}
 	body := make([]byte, resp.ContentLength)
@@ -260,7 +267,7 @@
 		return Status{}, errkind.Wrap(errkind.BackendRefused, errors.New(resp.Status))
 	}
 	var out Status
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&out); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, c.maxAnswer)).Decode(&out); err != nil {
 		return Status{}, errkind.Wrap(errkind.AnswerCorrupt, err)
 	}
 	return out, nil
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -197,7 +197,10 @@
 }
 
 func (d *daemon) newBackend(kernel.Lookup) (any, error) {
-	return backend.New(backend.Options{MaxConnsPerServer: d.Settings.Limits.ConnectionsPerBackendServer}), nil
+	return backend.New(backend.Options{
+		MaxConnsPerServer: d.Settings.Limits.ConnectionsPerBackendServer,
+		MaxAnswer:         int64(d.Settings.Limits.MaxAnswerBytes),
+	}), nil
 }
 
 // newPeers builds the exchange of heartbeats. The engine, which knows the VM's own status, is built later and told by newEngine.
@@ -259,6 +262,7 @@
 	e := need[*entry.Engine](l, serviceEngine)
 	o := callerapi.DefaultOptions()
 	o.MaxBody = d.Settings.Limits.MaxBodyBytes
+	o.MaxBodies = int64(d.Settings.Limits.MaxWaitingBytes)
 	return &httpService{
 		listener: netutil.LimitListener(d.listeners.caller, d.Settings.Limits.MaxCallerConnections),
 		handler:  d.closing(callerapi.New(e, o)),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -50,11 +50,8 @@
 	MaxOperatorConnections int `yaml:"max_operator_connections"`
 	// ConnectionsPerBackendServer bounds this VM's connections to one backend server.
 	ConnectionsPerBackendServer int `yaml:"connections_per_backend_server"`
-	// ResultsKept, ResultsKeptBytes and ResultsKeptFor bound the answers that are kept for later questions.
-	ResultsKept      int           `yaml:"results_kept"`
-	ResultsKeptBytes int           `yaml:"results_kept_bytes"`
-	ResultsKeptFor   time.Duration `yaml:"results_kept_for"`
-	MaxRequestIDs    int           `yaml:"max_request_ids"` // largest number of request ids issued by one call
+	// ResultsKeptBytes bounds the answers that are kept for later questions, in bytes; the oldest go first.
+	ResultsKeptBytes int `yaml:"results_kept_bytes"`
 }
 
 // Defaults of the settings that may be left out.
@@ -75,10 +72,7 @@
 		MaxCallerConnections:        4096,
 		MaxOperatorConnections:      64,
 		ConnectionsPerBackendServer: 7,
-		ResultsKept:                 20_000,
 		ResultsKeptBytes:            128 << 20,
-		ResultsKeptFor:              10 * time.Minute,
-		MaxRequestIDs:               1000,
 	}
 }
 
@@ -195,10 +189,7 @@
 		{"max_caller_connections", l.MaxCallerConnections},
 		{"max_operator_connections", l.MaxOperatorConnections},
 		{"connections_per_backend_server", l.ConnectionsPerBackendServer},
-		{"results_kept", l.ResultsKept},
 		{"results_kept_bytes", l.ResultsKeptBytes},
-		{"results_kept_for", int(l.ResultsKeptFor)},
-		{"max_request_ids", l.MaxRequestIDs},
 	}
 	for _, n := range counts {
 		if n.value <= 0 {
