Let the stand-in worker throttle tasks and report usage with a lag

The design names throttle and lagging usage among what a worker does, but the stand-in had neither. A throttled task takes twice the time that is left; the list of running tasks is that of one lag ago. The client has both calls; the engine does not use them yet: it learns run times from the answers.

--- a/backend/client.go
+++ b/backend/client.go
@@ -232,6 +232,17 @@
 	return err
 }
 
+// Throttle makes a task run slower from now on.
+func (c *Client) Throttle(ctx context.Context, address, taskID, holder string, fence uint64) error {
+	_, err := c.call(ctx, http.MethodPost, address, "/v1/tasks/"+taskID+"/throttle", TaskRequest{holder, fence})
+	return err
+}
+
+// Usage asks a server for its state with the list of running tasks. The list lags.
+func (c *Client) Usage(ctx context.Context, address string) (Status, error) {
+	return c.call(ctx, http.MethodGet, address, "/v1/status?tasks=true", nil)
+}
+
 // PhaseRequest carries the phase epoch of the VM for which a drain or its end was decided.
 type PhaseRequest struct {
 	Epoch uint64 `json:"epoch"`
--- a/backend/client_test.go
+++ b/backend/client_test.go
@@ -128,3 +128,29 @@
 	_, err := c.Run(ctx, "127.0.0.1:1", task(backendserver.New(backendserver.Options{}), "t"))
 	assert.Equal(t, errkind.BackendRefused, errkind.Of(err))
 }
+
+// TestUsageAndThrottle guards against a throttle that reaches no task, and against taking a lagging usage report for the present.
+func TestUsageAndThrottle(t *testing.T) {
+	begun := make(chan string, 2)
+	s, address := start(t, backendserver.Options{Slots: 2, UsageLag: time.Hour, OnStart: func(t backend.Task) { begun <- t.ID }})
+	c := backend.New(backend.Options{MaxConnsPerServer: 2})
+	defer c.Close()
+	long := task(s, "long")
+	long.Body = []byte(`{"run_millis":60000}`)
+	go func() { _, _ = c.Run(context.Background(), address, long) }()
+	<-begun
+	require.NoError(t, c.Throttle(t.Context(), address, "long", "e1", 2))
+	usage, err := c.Usage(t.Context(), address)
+	require.NoError(t, err)
+	assert.Equal(t, 1, usage.RunningCount)
+	assert.Empty(t, usage.Running, "the report lags behind the start")
+
+	other, otherAddress := start(t, backendserver.Options{Slots: 1, OnStart: func(t backend.Task) { begun <- t.ID }})
+	again := task(other, "long")
+	again.Body = long.Body
+	go func() { _, _ = c.Run(context.Background(), otherAddress, again) }()
+	<-begun
+	require.NoError(t, c.Throttle(t.Context(), otherAddress, "long", "e1", 2))
+	require.Len(t, other.Status().Running, 1)
+	assert.InDelta(t, 0.5, other.Status().Running[0].Cores, 0)
+}
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -94,11 +94,12 @@
 	address := flags.String("address", "127.0.0.1:7100", "IP number and port to listen on")
 	name := flags.String("name", "backend-server", "name of the VM")
 	slots := flags.Int("slots", 8, "number of tasks that run at one time")
+	lag := flags.Duration("usage-lag", 2*time.Second, "lag of the reports of running tasks")
 	starts := flags.String("starts", "", "`file` to which a line of JSON is appended for each task that starts")
 	if err := parse(flags, args, errOut); err != nil {
 		return err
 	}
-	options := backendserver.Options{Name: *name, Slots: *slots}
+	options := backendserver.Options{Name: *name, Slots: *slots, UsageLag: *lag}
 	if *starts != "" {
 		file, err := os.OpenFile(*starts, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
 		if err != nil {
--- a/internal/fleettest/nodes_test.go
+++ b/internal/fleettest/nodes_test.go
@@ -214,8 +214,8 @@
 func answerTo(order string) string { return "the answer to " + order }
 
 // work answers to the order and not merely with the body, so that an answer shows which request it was computed for.
-func work(ctx context.Context, t backend.Task, checkpoint <-chan struct{}) ([]byte, error) {
-	_, err := backendserver.Sleep(ctx, t, checkpoint)
+func work(ctx context.Context, t backend.Task, s backendserver.Signals) ([]byte, error) {
+	_, err := backendserver.Sleep(ctx, t, s)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/backendserver/http.go
+++ b/internal/standin/backendserver/http.go
@@ -22,8 +22,9 @@
 	e := echo.New()
 	e.POST("/v1/tasks", s.postTask)
 	e.POST("/v1/leases", s.postLeases)
-	e.POST("/v1/tasks/:id/stop", func(c echo.Context) error { return s.postSignal(c, false) })
-	e.POST("/v1/tasks/:id/checkpoint", func(c echo.Context) error { return s.postSignal(c, true) })
+	for _, do := range []action{stop, checkpoint, throttle} {
+		e.POST("/v1/tasks/:id/"+string(do), func(c echo.Context) error { return s.postSignal(c, do) })
+	}
 	e.POST("/v1/drain", func(c echo.Context) error { return s.postDraining(c, true) })
 	e.POST("/v1/undrain", func(c echo.Context) error { return s.postDraining(c, false) })
 	e.POST("/v1/faults", s.postFaults)
@@ -61,11 +62,25 @@
 
 func (s *Server) getStatus(c echo.Context) error {
 	if c.QueryParam("tasks") == "true" {
-		return c.JSON(http.StatusOK, s.Status())
+		return c.JSON(http.StatusOK, s.usage())
 	}
 	return c.JSON(http.StatusOK, s.brief())
 }
 
+// usage returns the status with the running tasks as they were one lag ago: younger ones are missing.
+func (s *Server) usage() backend.Status {
+	st := s.Status()
+	var seen []backend.TaskStatus
+	for _, t := range st.Running {
+		t.RunTime -= s.options.UsageLag
+		if t.RunTime >= 0 {
+			seen = append(seen, t)
+		}
+	}
+	st.Running = seen
+	return st
+}
+
 // brief returns the status without the list of tasks.
 func (s *Server) brief() backend.Status {
 	st := s.Status()
@@ -164,12 +179,12 @@
 	return c.JSON(http.StatusOK, s.brief())
 }
 
-func (s *Server) postSignal(c echo.Context, checkpoint bool) error {
+func (s *Server) postSignal(c echo.Context, do action) error {
 	var r backend.TaskRequest
 	if err := c.Bind(&r); err != nil {
 		return err
 	}
-	s.signal(c.Param("id"), r, checkpoint)
+	s.signal(c.Param("id"), r, do)
 	return c.JSON(http.StatusOK, s.brief())
 }
 
--- a/internal/standin/backendserver/server.go
+++ b/internal/standin/backendserver/server.go
@@ -14,8 +14,14 @@
 	"example.org/comfreyrouter/backend"
 )
 
-// Work runs a task. It returns a *backend.Checkpoint if checkpoint is closed before the end and the task can be saved.
-type Work func(ctx context.Context, t backend.Task, checkpoint <-chan struct{}) ([]byte, error)
+// Work runs a task. It returns a *backend.Checkpoint if Signals.Checkpoint is closed before the end and the task can be saved.
+type Work func(ctx context.Context, t backend.Task, s Signals) ([]byte, error)
+
+// Signals reach a running task. Each channel is closed when its signal comes.
+type Signals struct {
+	Checkpoint <-chan struct{} // save the state and end
+	Throttle   <-chan struct{} // run at half the speed from now on
+}
 
 // Options are the settings of a Server.
 type Options struct {
@@ -24,6 +30,8 @@
 	Work  Work // nil for Sleep
 	// OnStart is called for every task that starts, before it runs.
 	OnStart func(backend.Task)
+	// UsageLag is how far the reports of running tasks lag.
+	UsageLag time.Duration
 }
 
 // Faults are the switches of a Server. The zero value is a healthy one.
@@ -44,7 +52,9 @@
 	until      int64
 	cancel     context.CancelCauseFunc
 	checkpoint chan struct{}
+	throttle   chan struct{}
 	saved      bool
+	throttled  bool
 }
 
 // Server is one worker.
@@ -105,7 +115,7 @@
 	s.seen[t.ID] = true
 	s.fences[t.Holder] = t.Fence
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
-	running := &task{Task: t, started: time.Now(), until: t.LeaseUntil, cancel: cancel, checkpoint: make(chan struct{})}
+	running := &task{Task: t, started: time.Now(), until: t.LeaseUntil, cancel: cancel, checkpoint: make(chan struct{}), throttle: make(chan struct{})}
 	s.tasks[t.ID] = running
 	return running, ctx, ""
 }
@@ -157,7 +167,7 @@
 	if err := sleep(ctx, f.Delay); err != nil {
 		return nil, err
 	}
-	body, err := s.options.Work(ctx, t.Task, t.checkpoint)
+	body, err := s.options.Work(ctx, t.Task, Signals{Checkpoint: t.checkpoint, Throttle: t.throttle})
 	if ctx.Err() != nil {
 		return nil, context.Cause(ctx)
 	}
@@ -215,21 +225,32 @@
 	}
 }
 
-// signal stops or checkpoints a task of a holder.
-func (s *Server) signal(id string, r backend.TaskRequest, checkpoint bool) {
+// action is what a holder may do to its running task.
+type action string
+
+const (
+	stop       action = "stop"
+	checkpoint action = "checkpoint"
+	throttle   action = "throttle"
+)
+
+// signal passes an action on to a task of its holder.
+func (s *Server) signal(id string, r backend.TaskRequest, do action) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t, ok := s.tasks[id]
 	if !ok || t.Holder != r.Holder || r.Fence < s.fences[r.Holder] {
 		return
 	}
-	if !checkpoint {
+	switch {
+	case do == stop:
 		t.cancel(errStopped)
-		return
-	}
-	if !t.saved {
+	case do == checkpoint && !t.saved:
 		t.saved = true
 		close(t.checkpoint)
+	case do == throttle && !t.throttled:
+		t.throttled = true
+		close(t.throttle)
 	}
 }
 
@@ -281,9 +302,13 @@
 		RunningCount: len(s.tasks),
 	}
 	for _, t := range s.tasks {
+		cores := 1.0
+		if t.throttled {
+			cores = 0.5
+		}
 		st.ByHolder[t.Holder]++
 		st.Running = append(st.Running, backend.TaskStatus{
-			ID: t.ID, Holder: t.Holder, Team: t.Team, Queue: t.Queue, Class: t.Class, RunTime: time.Since(t.started), Cores: 1,
+			ID: t.ID, Holder: t.Holder, Team: t.Team, Queue: t.Queue, Class: t.Class, RunTime: time.Since(t.started), Cores: cores,
 		})
 	}
 	return st
@@ -296,8 +321,9 @@
 	Fail      bool   `json:"fail,omitempty"`
 }
 
-// Sleep is a Work that takes the time its body asks for and answers with the body. A checkpoint saves the time that is left.
-func Sleep(ctx context.Context, t backend.Task, checkpoint <-chan struct{}) ([]byte, error) {
+// Sleep is a Work that takes the time its body asks for and answers with the body. A checkpoint saves the time that is left; a throttle doubles
+// it.
+func Sleep(ctx context.Context, t backend.Task, s Signals) ([]byte, error) {
 	var in SleepTask
 	if err := json.Unmarshal(t.Body, &in); err != nil {
 		return t.Body, nil
@@ -305,21 +331,33 @@
 	if in.Fail {
 		return nil, errFailed
 	}
-	started := time.Now()
-	length := time.Duration(in.RunMillis) * time.Millisecond
-	timer := time.NewTimer(length)
+	end := time.Now().Add(time.Duration(in.RunMillis) * time.Millisecond)
+	timer := time.NewTimer(time.Until(end))
 	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return t.Body, nil
-	case <-ctx.Done():
-		return nil, context.Cause(ctx)
-	case <-checkpoint:
-		in.RunMillis = int(max(0, length-time.Since(started)).Milliseconds())
-		state, err := json.Marshal(in)
-		if err != nil {
-			return nil, err
+	throttled := s.Throttle
+	for {
+		select {
+		case <-timer.C:
+			return t.Body, nil
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
+		case <-throttled:
+			throttled = nil
+			left := 2 * time.Until(end)
+			end = time.Now().Add(left)
+			timer.Reset(left)
+		case <-s.Checkpoint:
+			return nil, saved(in, time.Until(end))
 		}
-		return nil, &backend.Checkpoint{State: state}
 	}
 }
+
+// saved returns the checkpoint of a task that has some time left.
+func saved(in SleepTask, left time.Duration) error {
+	in.RunMillis = int(max(0, left).Milliseconds())
+	state, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	return &backend.Checkpoint{State: state}
+}
