Try a request where nothing waits unless no recent task could have met its deadline

Cause: a request is refused if 90% of the recent tasks would not have met its deadline in time, so a few long tasks on a faulty server made a queue refuse everything, although slots were free and most tasks were short. Where requests wait, the 90% stay: there a request that will probably be late takes the place of one that will not.

--- a/entry/estimate.go
+++ b/entry/estimate.go
@@ -14,13 +14,17 @@
 func (e *Engine) loadLocked(c *call, now time.Time) admission.Load {
 	load := admission.Load{
 		WaitingBytes: e.waitingBytes,
-		RunTime:      e.runTimes.Estimate(c.req.Queue, c.team, 0),
+		RunTime:      e.runTimes.Shortest(c.req.Queue, c.team, 0),
 		Unlearned:    !e.runTimes.Learned(c.req.Queue, c.team, now),
 	}
 	if q := e.queues[c.queue.Pool]; q != nil && q.Len() > 0 {
 		load.Waiting = q.Len()
 		load.StartDelay = e.startDelayLocked(c, q, now)
 	}
+	if load.StartDelay > 0 {
+		// Where requests wait, one that will probably be late takes the place of one that will not.
+		load.RunTime = e.runTimes.Estimate(c.req.Queue, c.team, 0)
+	}
 	return load
 }
 
--- a/routing/model_test.go
+++ b/routing/model_test.go
@@ -349,7 +349,10 @@
 		}
 	}
 	b.RunTime = v.times.Mean("queue", r.team.name, r.team.declared)
-	load := admission.Load{StartDelay: admission.StartDelay(b), RunTime: v.times.Estimate("queue", r.team.name, r.team.declared)}
+	load := admission.Load{StartDelay: admission.StartDelay(b), RunTime: v.times.Shortest("queue", r.team.name, r.team.declared)}
+	if load.StartDelay > 0 {
+		load.RunTime = v.times.Estimate("queue", r.team.name, r.team.declared)
+	}
 	load.Unlearned = !v.times.Learned("queue", r.team.name, time.Unix(0, 0).Add(m.now))
 	if load.RunTime > r.team.deadline {
 		v.times.Doubt("queue", r.team.name)
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -156,6 +156,7 @@
 			r.Observe("q", "t", time.Duration(900+50*i)*time.Millisecond, newest)
 		}
 		require.InDelta(t, time.Second, r.Estimate("q", "t", declared), float64(200*time.Millisecond))
+		require.Equal(t, 900*time.Millisecond, r.Shortest("q", "t", declared))
 	}
 	r := routing.NewRunTimes()
 	for i := range 3000 {
--- a/routing/runtimes.go
+++ b/routing/runtimes.go
@@ -104,6 +104,16 @@
 	return sorted[(len(sorted)*runTimeQuantile-1)/100]
 }
 
+// Shortest returns the shortest run time of the newest tasks, or the declared one before the first task. It suits the question whether a request
+// that could start at once is hopeless.
+func (r *RunTimes) Shortest(queue, team string, declared time.Duration) time.Duration {
+	ring, ok := r.seen[runTimeKey{queue, team}]
+	if !ok {
+		return declared
+	}
+	return slices.Min(ring.newest())
+}
+
 // Mean returns the mean run time of the newest tasks, or the declared one before the first task. It suits the question how fast
 // a queue empties.
 func (r *RunTimes) Mean(queue, team string, declared time.Duration) time.Duration {
