--- a/backend/client_test.go
+++ b/backend/client_test.go
@@ -38,6 +38,7 @@
 	}{
 		"truncated": {backendserver.Faults{Truncate: true}, errkind.AnswerCorrupt},
 		"crossed":   {backendserver.Faults{Cross: true}, errkind.AnswerCorrupt},
+		"corrupt":   {backendserver.Faults{Corrupt: true}, errkind.AnswerCorrupt},
 		"dropped":   {backendserver.Faults{Drop: true}, errkind.BackendLost},
 		"failed":    {backendserver.Faults{FailAll: true}, errkind.BackendFailed},
 	}
