Correct the comment on moves and the layout epoch

Read-through: it said that only the end of a move raises the epoch, but its start does too, which is what lets one plan win. No change of behaviour.

--- a/fleet/apply_vms.go
+++ b/fleet/apply_vms.go
@@ -172,8 +172,8 @@
 	s.Waves[vm.Wave] = w
 }
 
-// move takes a VM out of its pool. Several moves of one plan carry the same layout epoch; only a finished or given-up move
-// raises it, and a VM that is moving already is refused.
+// move takes a VM out of its pool. It raises the layout epoch, as the end of a move does, so of several moves that were planned for one layout
+// the first one wins and the others must be planned anew.
 func (s *State) move(c *StartMove) Result {
 	vm, r := s.atEpoch(c.VM, c.Epoch)
 	if !r.OK() {
