Keep the configuration version when a key is withdrawn again

Cause: since entry VMs put withdrawals into the log by themselves, an operator's withdrawal and theirs could both be accepted and raise the version twice. A withdrawal of keys that are withdrawn already changes nothing now and returns the version in force.

--- a/fleet/apply_config.go
+++ b/fleet/apply_config.go
@@ -42,6 +42,11 @@
 		r.Version = s.Config.Version
 		return r
 	}
+	if s.withdrawnAlready(c.Changes) {
+		r := Result{Version: s.Config.Version}
+		s.Configured.add(c.ID, r)
+		return r
+	}
 	next := s.Config.Clone()
 	for _, change := range c.Changes {
 		if r := change.apply(next); !r.OK() {
@@ -73,6 +78,17 @@
 	return len(changes) > 0
 }
 
+// withdrawnAlready reports whether all changes withdraw keys that are withdrawn. They change nothing, so the version stays: several VMs may send
+// one withdrawal, and none of them may make an operator's next change a conflict.
+func (s *State) withdrawnAlready(changes []Change) bool {
+	for _, c := range changes {
+		if c.Withdraw == nil || !s.Config.Keys[*c.Withdraw].Withdrawn {
+			return false
+		}
+	}
+	return len(changes) > 0
+}
+
 func joinProblems(problems []Problem) string {
 	lines := make([]string, len(problems))
 	for i, p := range problems {
--- a/fleet/apply_config_test.go
+++ b/fleet/apply_config_test.go
@@ -72,3 +72,15 @@
 	assert.Equal(t, 2, s.GrantOf("late", "01M").Firm)
 	assert.LessOrEqual(t, s.Granted("late"), late.Limit)
 }
+
+// TestRepeatedWithdrawalKeepsTheVersion guards against a withdrawal that several VMs send and that makes an operator's next change a conflict.
+func TestRepeatedWithdrawalKeepsTheVersion(t *testing.T) {
+	s, err := samplefleet.State(samplefleet.Today)
+	require.NoError(t, err)
+	id := "key-team-00"
+	first := configure(s, "operator", fleet.Change{Withdraw: &id})
+	require.True(t, first.OK())
+	again := configure(s, "entry VM", fleet.Change{Withdraw: &id})
+	assert.Equal(t, first, again)
+	assert.Equal(t, first.Version, s.Config.Version)
+}
