Judge bodies only of answers without an error kind, and name the first lost request

An answer to a withdrawn key tells the outcome done without the body, by design, and the load took its missing body for a wrong one.

--- a/dev/load.go
+++ b/dev/load.go
@@ -30,6 +30,8 @@
 	// Lost counts requests whose caller was told something untrue: done with another answer than its own, or not run
 	// although it ran.
 	Lost int
+	// FirstLost describes the first lost request, for finding its cause.
+	FirstLost string
 }
 
 // String returns the summary in one line.
@@ -41,7 +43,7 @@
 // Err returns an error if a request was doubled or lost.
 func (s Summary) Err() error {
 	if s.Doubled > 0 || s.Lost > 0 {
-		return errkind.New(errkind.Internal, "%d requests were doubled and %d were lost", s.Doubled, s.Lost)
+		return errkind.New(errkind.Internal, "%d requests were doubled and %d were lost, first: %s", s.Doubled, s.Lost, s.FirstLost)
 	}
 	return nil
 }
@@ -86,7 +88,8 @@
 // told is what a caller was told.
 type told struct {
 	outcome errkind.Outcome
-	whole   bool // for done: the body is the one that belongs to the order
+	kind    string // error kind; with one, the answer has no body of a task, also if the outcome is done
+	whole   bool   // for done: the body is the one that belongs to the order
 }
 
 // Load sends requests to a cluster and compares what it was told with the ledger.
@@ -262,6 +265,7 @@
 	}
 	return told{
 		outcome: errkind.Outcome(resp.Header.Get(callerapi.HeaderOutcome)),
+		kind:    resp.Header.Get(callerapi.HeaderErrorKind),
 		whole:   o.owns(body),
 	}
 }
@@ -283,9 +287,12 @@
 		l.summary.Doubled++
 	}
 	for _, a := range answers {
-		untrue := a.outcome == errkind.Done && !a.whole || a.outcome == errkind.NotRun && starts > 0 && !o.repeatable
+		untrue := a.outcome == errkind.Done && a.kind == "" && !a.whole || a.outcome == errkind.NotRun && starts > 0 && !o.repeatable
 		if untrue || a.outcome == "" {
 			l.summary.Lost++
+			if l.summary.FirstLost == "" {
+				l.summary.FirstLost = fmt.Sprintf("%+v of %s, which started %d times, was told %+v", o.id, o.queue, starts, answers)
+			}
 			break
 		}
 	}
