Mark jobs before they start, end formers that have stopped, and let nodes claim one after another

On a slow store all nodes claimed at the same moment; their appends overran the store's queue, a node of 0.192 cores won and dispatched 350 servers for 25 s.

Change: a job is marked in the ledger before its first start, so unmarked jobs never wait. A node stores the number of its process and which of its terms are over; formers that are over no longer hold up leases, and the wait counts from the claim that followed each former. A recorded server that isn't listed and doesn't answer has ended if its machine left, has another server, moves or is in upkeep. Claims go by rank (strength, data centres by turns, last started first), silence is 1.2 s on a prompt store and ten answer times longer on a slow one, and a weaker dispatcher gives way to a stronger node that asks. AfterEnd is replaced: it forgot a dispatcher before the last one that was still cut off.

Ruled out: load.

A crash on a failed job at a takeover was found on the way (dispatch.TestAFailedJobIsTakenOver).

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -13,11 +13,10 @@
 
 // Params are the bounds that the fleet's operators and the platform set.
 type Params struct {
-	Epoch    int64 // of this dispatcher; also the fencing token of its orders
-	Acquired time.Duration
-	Lease    time.Duration // of a run, renewed with each report
-	// Silence is how long the former dispatcher may go on giving leases after this one took over, as far as its orders still arrive.
-	Silence time.Duration
+	Epoch int64         // of this dispatcher; also the fencing token of its orders
+	Lease time.Duration // of a run, renewed with each report
+	// FormerUntil is until when former dispatchers may go on giving leases, as far as their orders still arrive.
+	FormerUntil time.Duration
 	// Early is how long before its time an occurrence may start.
 	Early time.Duration
 }
@@ -128,6 +127,8 @@
 	occurrences map[int]*occurrence
 	doneBefore  map[int]bool // occurrences that are done
 	nextOcc     int
+	mark        markState
+	inherited   bool    // a former dispatcher may have started tasks of it
 	runs        int     // runs on servers
 	overShare   bool    // its workspace sent more than it is owed
 	taskMS      float64 // mean run time of its tasks that are done
@@ -173,7 +174,7 @@
 	arrivals map[string]*arrivals // by service
 	weights  map[string]float64   // by workspace: jobs a second that are owed
 	shares   map[string]*share
-	takeover int64 // offset of the record with which this dispatcher took over
+	listRead bool // the platform's list of servers was read
 	dirty    map[string]*job
 	orders   []Order
 	records  []ledger.Record
@@ -228,26 +229,46 @@
 	c := &Core{
 		params: p, config: config, servers: map[string]*server{}, jobs: map[string]*job{}, usage: map[string]jobs.Resources{},
 		dirty: map[string]*job{}, ended: map[string]bool{}, learned: map[string]*runtime{}, events: map[string]int{},
-		takeover: l.DispatcherOffset, arrivals: map[string]*arrivals{}, shares: map[string]*share{},
+		arrivals: map[string]*arrivals{}, shares: map[string]*share{},
 		now: now, wallMS: wallMS,
 	}
 	c.SetConfiguration(config)
 	for id, s := range l.Servers {
-		srv := c.newServer(jobs.Server{ID: id, Service: s.Service, Address: s.Address, BornMS: s.BornMS})
+		srv := c.newServer(jobs.Server{ID: id, Service: s.Service, Address: s.Address, BornMS: s.BornMS, Machine: s.Machine})
 		srv.recorded = true
-		srv.lapsesAt = p.Acquired + p.Silence + scaled(p.Lease) + leaseSlack
+		srv.lapsesAt = c.lapseAfter(p.FormerUntil)
 	}
 	for id, e := range l.Jobs {
 		if e.Submission != nil && e.Final == nil {
 			c.addJob(e)
+			j := c.jobs[id]
+			if j == nil {
+				continue // it had failed, and nothing of it runs
+			}
+			j.inherited = e.Progress.May
 			if e.Cancelled {
-				c.cancel(c.jobs[id])
+				c.cancel(j)
 			}
 		}
 	}
 	return c
 }
 
+// lapseAfter returns when a lease has lapsed that was given at a time at the latest.
+func (c *Core) lapseAfter(given time.Duration) time.Duration {
+	return given + scaled(c.params.Lease) + leaseSlack
+}
+
+// FormerEndedBy notes that former dispatchers gave no more orders after a time. Servers that haven't answered this dispatcher have leases of
+// theirs only.
+func (c *Core) FormerEndedBy(at time.Duration) {
+	for _, s := range c.servers {
+		if s.recorded && !s.swept && s.recvAt == 0 {
+			s.lapsesAt = min(s.lapsesAt, c.lapseAfter(at))
+		}
+	}
+}
+
 // scaled returns how long a span on a server's clock may take.
 func scaled(d time.Duration) time.Duration { return time.Duration(float64(d) / clockRate) }
 
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -27,6 +27,9 @@
 		sub: e.Submission, offset: e.Offset, submitted: c.now - age, started: e.Progress.Started,
 		occurrences: map[int]*occurrence{}, doneBefore: map[int]bool{},
 	}
+	if e.Progress.May {
+		j.mark = markStored
+	}
 	c.jobs[j.sub.ID] = j
 	for _, p := range e.Progress.Occurrences {
 		if p.Done {
@@ -180,7 +183,7 @@
 
 // progress returns what has been achieved of a job.
 func (j *job) progress() ledger.Progress {
-	p := ledger.Progress{Started: j.started}
+	p := ledger.Progress{May: j.mark != markNone, Started: j.started}
 	for k := range j.doneBefore {
 		p.Occurrences = append(p.Occurrences, ledger.OccurrenceProgress{Number: k, Done: true})
 	}
@@ -214,6 +217,7 @@
 	Records []ledger.Record
 	seen    map[string]int64 // by server: ends that the records take into account
 	servers []string         // servers whose record is in the batch
+	marks   []string         // jobs whose tasks may start once it is stored
 }
 
 // Empty reports whether there is nothing to store and nothing to acknowledge.
@@ -225,6 +229,10 @@
 	c.records = nil
 	for id, j := range c.dirty {
 		b.Records = append(b.Records, ledger.ProgressRecord(id, j.progress()))
+		if j.mark == markWanted {
+			j.mark = markSent
+			b.marks = append(b.marks, id)
+		}
 	}
 	clear(c.dirty)
 	for id, s := range c.servers {
@@ -234,14 +242,20 @@
 		if !s.recorded && !s.recording && s.listed && s.info.Ready {
 			s.recording = true
 			b.servers = append(b.servers, id)
-			b.Records = append(b.Records, ledger.ServerRecord(id, ledger.Server{Service: s.info.Service, Address: s.info.Address, BornMS: s.info.BornMS}))
+			b.Records = append(b.Records, ledger.ServerRecord(id, ledger.Server{Service: s.info.Service, Address: s.info.Address, BornMS: s.info.BornMS, Machine: s.info.Machine}))
 		}
 	}
 	return b
 }
 
-// Stored notes that a batch is stored: servers may forget its ends, and may be given work.
-func (c *Core) Stored(b Batch) {
+// Stored notes that a batch is stored: servers may forget its ends and may be given work, and jobs may start. It reports whether something
+// may start now that could not before.
+func (c *Core) Stored(b Batch) bool {
+	for _, id := range b.marks {
+		if j := c.jobs[id]; j != nil {
+			j.mark = markStored
+		}
+	}
 	for id, seen := range b.seen {
 		if s := c.servers[id]; s != nil {
 			s.taken = max(s.taken, min(seen, s.seen))
@@ -252,6 +266,7 @@
 			s.recorded = true
 		}
 	}
+	return len(b.marks)+len(b.servers) > 0
 }
 
 // Store adds a record to the next batch.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -90,15 +90,28 @@
 	slices.SortFunc(pool, func(a, b *server) int { return cmp.Compare(a.info.ID, b.info.ID) })
 	slices.SortFunc(waiting, compareCandidates)
 	blocked := c.blocked(service)
+	ahead := 0
 	for _, w := range waiting {
-		if blocked && w.job.offset <= c.takeover {
+		if blocked && w.job.inherited {
 			continue
 		}
-		for _, o := range w.job.occurrences {
-			for _, s := range o.steps {
-				if s.doneCount < len(s.tasks) && s.ready() {
-					c.placeStep(s, pool)
-				}
+		if w.job.mark != markStored {
+			ahead += c.wantMark(w.job, ahead)
+			continue
+		}
+		c.placeJob(w.job, pool)
+		if c.hasWaiting(w.job) && !c.atLimit(w.job) {
+			ahead++
+		}
+	}
+}
+
+// placeJob starts the tasks of a job whose turn has come, as far as there is room.
+func (c *Core) placeJob(j *job, pool []*server) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.doneCount < len(s.tasks) && s.ready() {
+				c.placeStep(s, pool)
 			}
 		}
 	}
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -40,6 +40,31 @@
 	}
 }
 
+// ListRead notes that all entries of the platform's list of servers were taken.
+func (c *Core) ListRead() { c.listRead = true }
+
+// SeeMachines takes the whole list of machines. A server of a former dispatcher that doesn't answer and isn't listed has ended if its machine
+// has left the fleet, has another server, or is moving or in upkeep, which ends everything on it. A server that is cut off keeps its machine.
+func (c *Core) SeeMachines(machines []jobs.Machine) {
+	if !c.listRead || len(machines) == 0 {
+		return
+	}
+	byID := make(map[string]jobs.Machine, len(machines))
+	for _, m := range machines {
+		byID[m.ID] = m
+	}
+	for _, s := range c.servers {
+		if s.listed || s.info.Machine == "" || s.recvAt > 0 && !s.silent {
+			continue
+		}
+		m, there := byID[s.info.Machine]
+		if !there || m.Server != "" && m.Server != s.info.ID || m.Phase == jobs.MachineInUpkeep || m.Phase == jobs.MachineMoving {
+			c.note(s, "machine_left")
+			c.serverGone(s)
+		}
+	}
+}
+
 // LoseServer notes that the platform's list no longer has a server. What runs there goes on as long as it answers.
 func (c *Core) LoseServer(id string) {
 	if s := c.servers[id]; s != nil {
@@ -217,7 +242,8 @@
 	return false
 }
 
-// blocked reports whether old tasks of a service have to wait, because they may run on a server that hasn't answered this dispatcher.
+// blocked reports whether tasks of a service that a former dispatcher may have started have to wait, because they may run on a server that
+// hasn't answered this dispatcher.
 func (c *Core) blocked(service string) bool {
 	for _, s := range c.servers {
 		if s.recorded && !s.swept && s.info.Service == service {
--- /dev/null
+++ b/election/election.go
@@ -0,0 +1,154 @@
+// Package election decides which node asks for the place of the dispatcher, and when. It has no clock and does no I/O. Safety doesn't rest on
+// it: the first claim of an epoch in the ledger wins, and the store and the backend servers refuse former epochs.
+package election
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"example.org/comfreyrouter/ledger"
+)
+
+const (
+	// Silence is how long the dispatcher must be silent before another node claims its place, if the store answers promptly: two renewals
+	// and the pause between two reads of the ledger, with some slack.
+	Silence = 1200 * time.Millisecond
+	// Suspicion is the silence after which a node measures how promptly the store answers.
+	Suspicion = 900 * time.Millisecond
+	// slowFactor is the number of answer times of the store that are added to the silence: an append waits up to 2 s for others, which is
+	// six answers on the slowest days.
+	slowFactor = 10
+	// promptAnswer is an answer time that counts as prompt: the store answers in about 4 ms, and a busy node reads an answer late.
+	promptAnswer = 40 * time.Millisecond
+	// Step is by how much later each next node claims, so that not all claim at the same time. A claim shows to the others after an append
+	// and the pause between two reads of the ledger.
+	Step = 150 * time.Millisecond
+	// stepsMost bounds the steps, so that a place isn't vacant for long when the first nodes are cut off together.
+	stepsMost = 25
+	// strong and middling are shares of the strongest node's processors that put a node into the first and into the second class.
+	strong   = 0.75
+	middling = 0.5
+)
+
+// class returns how strong a node is, 0 being the strongest.
+func class(cores, strongest float64) int {
+	switch {
+	case cores >= strong*strongest:
+		return 0
+	case cores >= middling*strongest:
+		return 1
+	}
+	return 2
+}
+
+func strongest(nodes map[string]ledger.Node) float64 {
+	most := 0.0
+	for _, n := range nodes {
+		most = max(most, n.Cores)
+	}
+	return most
+}
+
+type ranked struct {
+	name   string
+	node   ledger.Node
+	class  int
+	inZone int // stronger and younger nodes of its data centre
+}
+
+// Rank returns how many nodes claim before a node: stronger ones first, then by turns of the data centres, so that a cut one costs one step,
+// and the last started first, because a roll of all nodes comes to those last.
+func Rank(nodes map[string]ledger.Node, name string) int {
+	all := order(nodes)
+	i := slices.IndexFunc(all, func(r ranked) bool { return r.name == name })
+	if i < 0 {
+		return len(all)
+	}
+	return i
+}
+
+func order(nodes map[string]ledger.Node) []ranked {
+	most := strongest(nodes)
+	all := make([]ranked, 0, len(nodes))
+	for name, n := range nodes {
+		all = append(all, ranked{name: name, node: n, class: class(n.Cores, most)})
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(b.node.Offset, a.node.Offset), cmp.Compare(a.name, b.name))
+	})
+	count := map[string]int{}
+	for i := range all {
+		all[i].inZone = count[all[i].node.DataCentre]
+		count[all[i].node.DataCentre]++
+	}
+	slices.SortStableFunc(all, func(a, b ranked) int { return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.inZone, b.inZone)) })
+	return all
+}
+
+// Place is what a node knows of the dispatcher's place.
+type Place struct {
+	Vacant bool          // never taken, given up, or its dispatcher has ended
+	Silent time.Duration // since when nothing was heard of the dispatcher, or since when the place is known to be vacant
+	// Answer is how long the store took for its last answer to this node. It counts once the silence is beyond Suspicion.
+	Answer time.Duration
+	Rank   int
+}
+
+// Claim reports whether to claim the place now.
+func (p Place) Claim() bool {
+	turn := time.Duration(min(p.Rank, stepsMost)) * Step
+	if p.Vacant {
+		return p.Silent >= turn
+	}
+	needed := Silence
+	if p.Answer > promptAnswer {
+		needed += slowFactor * p.Answer
+	}
+	return p.Silent >= needed+turn
+}
+
+// bidAfter is how long a weaker dispatcher keeps its place before a stronger node asks for it, so that a day of many changes isn't made worse.
+const bidAfter = 2 * time.Second
+
+// Bid reports whether a node should ask the dispatcher to give its place up, because the node is of a stronger class and no other has asked.
+func Bid(nodes map[string]ledger.Node, name string, d ledger.Dispatcher, held time.Duration) bool {
+	most := strongest(nodes)
+	me, holder := nodes[name], nodes[d.Node]
+	if d.Node == name || class(me.Cores, most) >= class(holder.Cores, most) {
+		return false
+	}
+	for _, n := range nodes {
+		if n.Bid == d.Epoch {
+			return false
+		}
+	}
+	return held >= bidAfter+time.Duration(min(Rank(nodes, name), stepsMost))*Step
+}
+
+// Yield reports whether a dispatcher should give its place up for a node that has asked for it.
+func Yield(nodes map[string]ledger.Node, d ledger.Dispatcher) bool {
+	for name, n := range nodes {
+		if name != d.Node && n.Bid == d.Epoch && d.Epoch > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Formers returns the dispatchers before a claim that may still give orders: the last one, unless it has given its place up, and those that
+// it knew of, without those that are over.
+func Formers(l *ledger.Ledger) []ledger.Former {
+	last := l.Dispatcher
+	var open []ledger.Former
+	for _, f := range last.Former {
+		if !l.Over(f) {
+			open = append(open, f)
+		}
+	}
+	f := ledger.Former{Epoch: last.Epoch, Node: last.Node, Life: last.Life, Start: last.Start}
+	if last.Epoch > 0 && !last.Released && !l.Over(f) {
+		open = append(open, f)
+	}
+	return open
+}
--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -53,6 +53,8 @@
 	operators *operators
 	cancel    context.CancelFunc
 	acquired  time.Duration
+	claimed   time.Duration
+	formers   formers
 
 	mu       sync.Mutex
 	core     *dispatch.Core
@@ -71,7 +73,7 @@
 	defer cancel()
 	d := &dispatcher{
 		node: n, log: n.log, place: place, store: n.store, servers: n.servers, follower: n.follower, operators: n.operators, cancel: cancel,
-		acquired: boottime.Now(), renewed: claimed, asking: map[string]bool{}, sequence: 1,
+		acquired: boottime.Now(), claimed: claimed, renewed: claimed, asking: map[string]bool{}, sequence: 1,
 		appends: link{name: "appends of the dispatcher", log: n.log}, wake: make(chan struct{}, 1),
 	}
 	if !d.takeOver() {
@@ -100,12 +102,9 @@
 		return false
 	}
 	bounds := d.node.settings.Bounds
-	silence := graceOfOrders
-	if d.place.AfterEnd {
-		silence = 0
-	}
+	d.formers = newFormers(d.place.Former, d.claimed)
 	d.core = dispatch.New(dispatch.Params{
-		Epoch: d.place.Epoch, Acquired: d.acquired, Lease: min(leaseWanted, bounds.LeaseMost), Silence: silence, Early: bounds.Early,
+		Epoch: d.place.Epoch, Lease: min(leaseWanted, bounds.LeaseMost), FormerUntil: d.formers.until(d.follower), Early: bounds.Early,
 	}, d.follower.ledger, config, boottime.Now(), time.Now().UnixMilli())
 	d.follower.changes = nil
 	events.Log(d.log, events.DispatcherStarted, d.place.Epoch, len(d.follower.ledger.Jobs))
@@ -174,7 +173,9 @@
 	if !d.mayOrder() {
 		return
 	}
+	ended := d.watchOthers()
 	d.update(func(c *dispatch.Core) {
+		c.FormerEndedBy(ended)
 		if config := d.operators.view().config; config != nil {
 			c.SetConfiguration(config)
 		}
@@ -329,7 +330,10 @@
 			sleep(ctx, retryPause)
 			continue
 		}
-		d.update(func(c *dispatch.Core) { entries.take(c, records) })
+		d.update(func(c *dispatch.Core) {
+			entries.take(c, records)
+			c.ListRead()
+		})
 		d.askServers(ctx)
 		d.wakeUp()
 		sleep(ctx, serversPause)
@@ -364,7 +368,7 @@
 			continue
 		}
 		if due {
-			batch.Records = append(batch.Records, ledger.DispatcherRecord(d.place))
+			batch.Records = append(batch.Records, ledger.DispatcherRecord(d.present()))
 			last = boottime.Now()
 		}
 		if !d.append(ctx, batch.Records) {
@@ -377,8 +381,11 @@
 
 func (d *dispatcher) stored(b dispatch.Batch) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.core.Stored(b)
+	startable := d.core.Stored(b)
+	d.mu.Unlock()
+	if startable {
+		d.wakeUp()
+	}
 }
 
 // append stores records with the next sequence number, and tries again until the store has answered.
@@ -420,7 +427,7 @@
 	d.mu.Lock()
 	batch := d.core.TakeBatch()
 	d.mu.Unlock()
-	place := d.place
+	place := d.present()
 	place.Released = true
 	d.append(ctx, append(batch.Records, ledger.DispatcherRecord(place)))
 }
@@ -428,11 +435,12 @@
 // forgetBatch bounds the jobs that are forgotten at once, so that a long ledger doesn't make one large append.
 const forgetBatch = 200
 
-// forgetOld drops jobs that ended so long ago that nobody asks for them.
+// forgetOld drops jobs that ended so long ago that nobody asks for them, and nodes that have left the fleet.
 func (d *dispatcher) forgetOld() {
 	before := time.Now().Add(-d.node.settings.Bounds.KeepFinished).UnixMilli()
 	d.follower.mu.Lock()
 	records := d.follower.ledger.Outdated(before, forgetBatch)
+	records = append(records, d.follower.ledger.Absent(time.Now().Add(-absentAfter).UnixMilli())...)
 	d.follower.mu.Unlock()
 	d.update(func(c *dispatch.Core) {
 		for _, r := range records {
--- a/jobnode/follower.go
+++ b/jobnode/follower.go
@@ -22,6 +22,10 @@
 	followPause = 250 * time.Millisecond
 	// decidePause is the same for the node that decides.
 	decidePause = 8 * time.Millisecond
+	// urgentPause is the same while the dispatcher may be gone, so that its successor is known soon.
+	urgentPause = 60 * time.Millisecond
+	// claimsKept is the number of epochs of which it is known when they began; more than the dispatchers of half a minute.
+	claimsKept = 64
 	// freshWithin is how old the last read may be for the ledger to answer that a job isn't known.
 	freshWithin = 2500 * time.Millisecond
 	// readGap is the longest pause between two reads during which a silent dispatcher counts as silent.
@@ -42,19 +46,22 @@
 
 	mu        sync.Mutex
 	ledger    *ledger.Ledger
-	pages     map[string]int64 // offsets of the newest records, until the tail has passed them
-	wholeAt   int64            // offset from which on the state is whole
-	behind    bool             // the last read didn't reach the end
-	synced    bool             // the state is whole
-	confirmed time.Duration    // start of the last read that succeeded
-	heard     time.Duration    // when the dispatcher was last heard of
+	pages     map[string]int64        // offsets of the newest records, until the tail has passed them
+	wholeAt   int64                   // offset from which on the state is whole
+	behind    bool                    // the last read didn't reach the end
+	synced    bool                    // the state is whole
+	confirmed time.Duration           // start of the last read that succeeded
+	answer    time.Duration           // how long the last read took that didn't wait for records
+	urgent    bool                    // the dispatcher may be gone: read without waiting
+	heard     time.Duration           // when the dispatcher was last heard of
+	claims    map[int64]time.Duration // when the first record of an epoch was read
 	deciding  bool
 	changes   []change // since the dispatcher last asked; kept only while this node decides
 	signal    chan struct{}
 }
 
 func newFollower(store *platform.Store, log zerolog.Logger) *follower {
-	return &follower{store: store, log: log, link: link{name: "ledger", log: log}, ledger: ledger.New(), signal: make(chan struct{}, 1)}
+	return &follower{store: store, log: log, link: link{name: "ledger", log: log}, ledger: ledger.New(), claims: map[int64]time.Duration{}, signal: make(chan struct{}, 1)}
 }
 
 // Run follows the ledger's topic until ctx ends.
@@ -83,7 +90,11 @@
 		f.restore(records)
 		return end, nil
 	}
-	page, err := f.store.Read(ctx, platform.TopicJobs, from, f.wait())
+	wait := f.wait()
+	page, err := f.store.Read(ctx, platform.TopicJobs, from, wait)
+	if wait == 0 && err == nil {
+		f.answered(boottime.Now() - sent)
+	}
 	if errors.Is(err, platform.ErrGone) {
 		return -1, err
 	}
@@ -94,16 +105,22 @@
 	return page.Next, nil
 }
 
-// wait returns how long a read may wait for a record: not at all while the state isn't whole.
+// wait returns how long a read may wait for a record: not at all while the state isn't whole, or while the dispatcher may be gone.
 func (f *follower) wait() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.synced {
+	if !f.synced || f.urgent {
 		return 0
 	}
 	return followWait
 }
 
+func (f *follower) answered(took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answer = took
+}
+
 // restore folds the newest record of each key.
 func (f *follower) restore(records []platform.Record) {
 	f.mu.Lock()
@@ -156,6 +173,7 @@
 	}
 	if ledger.IsDispatcher(r.Key) {
 		f.heard = boottime.Now()
+		f.noteClaim()
 	}
 	if kind == ledger.DispatcherChanged || f.deciding && (kind == ledger.JobAdded || kind == ledger.JobCancelled) {
 		f.changes = append(f.changes, change{kind, id})
@@ -166,12 +184,35 @@
 	}
 }
 
+// noteClaim notes when the epoch of the dispatcher was first read. The lock must be held.
+func (f *follower) noteClaim() {
+	epoch := f.ledger.Dispatcher.Epoch
+	if _, seen := f.claims[epoch]; !seen {
+		f.claims[epoch] = boottime.Now()
+		delete(f.claims, epoch-claimsKept)
+	}
+}
+
+// succeeded returns when a later epoch than the given one was first read. The lock must be held.
+func (f *follower) succeeded(epoch int64) time.Duration {
+	at := boottime.Now()
+	for later, seen := range f.claims {
+		if later > epoch {
+			at = min(at, seen)
+		}
+	}
+	return at
+}
+
 // pause returns the pause before the next read.
 func (f *follower) pause() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.deciding || f.behind || !f.synced {
+	switch {
+	case f.deciding || f.behind || !f.synced:
 		return decidePause
+	case f.urgent:
+		return urgentPause
 	}
 	return followPause
 }
--- a/jobnode/machines.go
+++ b/jobnode/machines.go
@@ -115,10 +115,8 @@
 	if err != nil {
 		return nil, false
 	}
-	if len(k.ending) == 0 {
-		return machines, true
-	}
 	k.update(func(c *dispatch.Core) {
+		c.SeeMachines(machines)
 		for _, m := range machines {
 			server, ok := k.ending[m.ID]
 			if !ok {
--- a/jobnode/node.go
+++ b/jobnode/node.go
@@ -15,7 +15,6 @@
 	"example.org/comfreyrouter/events"
 	"example.org/comfreyrouter/internal/httpserve"
 	"example.org/comfreyrouter/kernel"
-	"example.org/comfreyrouter/ledger"
 	"example.org/comfreyrouter/platform"
 )
 
@@ -24,6 +23,7 @@
 	serviceOperators = "operators"
 	serviceFollower  = "follower"
 	serviceWriter    = "writer"
+	servicePresence  = "presence"
 	serviceElector   = "elector"
 	serviceCallers   = "callers"
 	serviceReady     = "ready"
@@ -48,6 +48,7 @@
 	operators *operators
 	follower  *follower
 	writer    *writer
+	presence  *presence
 	metrics   *nodeMetrics
 	stopping  atomic.Bool
 }
@@ -69,6 +70,7 @@
 		operators: newOperators(store, s.Bounds.RevokeWithin, log), follower: newFollower(store, log), writer: newWriter(store, log),
 		metrics: newMetrics(),
 	}
+	n.presence = newPresence(s, n.life, n.follower, store)
 	if s.MachinesAddress.IsValid() {
 		n.machines = platform.NewMachines(s.MachinesAddress.String())
 	}
@@ -103,7 +105,7 @@
 // kernel registers the node's services. On a planned stop the listeners end first, so that what they need still works.
 func (n *Node) kernel(serve context.Context, callers, ready net.Listener) (*kernel.Kernel, error) {
 	k := kernel.New()
-	elect := &elector{node: n.settings.Name, cores: n.settings.Cores, operators: n.operators, life: n.life, store: n.store, follower: n.follower, log: n.log, run: n.lead}
+	elect := &elector{node: n.settings.Name, operators: n.operators, life: n.life, store: n.store, follower: n.follower, presence: n.presence, log: n.log, run: n.lead}
 	for _, s := range []struct {
 		name  string
 		needs []string
@@ -116,10 +118,8 @@
 			return httpserve.Serve(serve, callers, n.handler(), max(n.settings.Bounds.Grace-stopDelay-stopMargin, time.Second))
 		}},
 		{serviceReady, nil, func(ctx context.Context) error { return httpserve.Serve(ctx, ready, n.readyHandler(), time.Second) }},
-		{serviceElector, []string{serviceCallers, serviceReady}, func(ctx context.Context) error {
-			go n.introduce(ctx)
-			return elect.Run(ctx)
-		}},
+		{servicePresence, []string{serviceFollower}, n.presence.Run},
+		{serviceElector, []string{serviceCallers, serviceReady, servicePresence}, elect.Run},
 	} {
 		service := kernel.Service{Name: s.name, Needs: s.needs, New: func(kernel.Lookup) (any, error) { return s.run, nil }}
 		if err := k.Register(service); err != nil {
@@ -129,14 +129,6 @@
 	return k, nil
 }
 
-// introduce stores how strong this node is.
-func (n *Node) introduce(ctx context.Context) {
-	r := ledger.NodeRecord(n.settings.Name, ledger.Node{Cores: n.settings.Cores})
-	for ctx.Err() == nil && n.writer.Put(ctx, r) != nil {
-		sleep(ctx, retryPause)
-	}
-}
-
 // untilDrained returns a context that ends some time after ctx. Meanwhile the node isn't ready but goes on taking calls, until the load
 // balancer has noticed.
 func (n *Node) untilDrained(ctx context.Context) context.Context {
--- a/jobs/model.go
+++ b/jobs/model.go
@@ -280,8 +280,11 @@
 	Labels           []string
 }
 
-// MachineInUpkeep is the phase of a machine that is down for its upkeep.
-const MachineInUpkeep = "upkeep"
+// Phases of a machine in which nothing runs on it.
+const (
+	MachineInUpkeep = "upkeep" // down for its upkeep
+	MachineMoving   = "moving" // to another pool
+)
 
 // Wave asks that machines have their upkeep.
 type Wave struct {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -37,8 +37,17 @@
 	Node     string `json:"n"`
 	Life     string `json:"l"`           // one life of the node's process
 	Released bool   `json:"r,omitempty"` // it gives no more orders
-	// AfterEnd says that the dispatcher before gives no more orders for certain: it had released its place, or its process has ended.
-	AfterEnd bool `json:"a,omitempty"`
+	Start    int64  `json:"s,omitempty"` // number of the start of the node's process, as in Node
+	// Former are the earlier dispatchers that may still have given orders when this one claimed its place.
+	Former []Former `json:"f,omitempty"`
+}
+
+// Former is an earlier dispatcher.
+type Former struct {
+	Epoch int64  `json:"e"`
+	Node  string `json:"n"`
+	Life  string `json:"l"`
+	Start int64  `json:"s,omitempty"`
 }
 
 // StepProgress is what has been achieved of one step.
@@ -62,6 +71,9 @@
 
 // Progress is what has been achieved of a job.
 type Progress struct {
+	// May says that tasks may have been started. It is stored before the first start, so that a new dispatcher can start jobs without it
+	// at once, whatever runs on servers that don't answer.
+	May         bool                 `json:"m,omitempty"`
 	Started     bool                 `json:"b,omitempty"` // a task has started
 	Occurrences []OccurrenceProgress `json:"o,omitempty"`
 }
@@ -73,9 +85,25 @@
 	AtMS  int64      `json:"t"` // Unix time
 }
 
-// Node says how strong a node is. Nodes that have left the fleet stay listed.
+// Node is what a node says of itself, at each start of its process, from time to time, and when it has stopped dispatching.
 type Node struct {
-	Cores float64 `json:"c"`
+	Cores      float64 `json:"c"`
+	DataCentre string  `json:"d,omitempty"`
+	Life       string  `json:"l,omitempty"`
+	Start      int64   `json:"s,omitempty"` // rises with each start of the node's process
+	Ended      int64   `json:"e,omitempty"` // newest epoch in which this process gives no more orders
+	Bid        int64   `json:"b,omitempty"` // epoch of a weaker dispatcher that it asks to give its place up
+	AtMS       int64   `json:"t,omitempty"` // Unix time
+	Offset     int64   `json:"-"`           // of the first record of this start
+}
+
+// Over reports whether an earlier dispatcher gives no more orders: its process has said so, or its node has started another process since.
+func (l *Ledger) Over(f Former) bool {
+	n := l.Nodes[f.Node]
+	if n.Life == f.Life {
+		return n.Ended >= f.Epoch
+	}
+	return n.Start > f.Start
 }
 
 // MachineOrder says who ordered a machine last, and when.
@@ -89,6 +117,7 @@
 	Service string `json:"s"`
 	Address string `json:"a"`
 	BornMS  int64  `json:"b"`
+	Machine string `json:"m,omitempty"`
 }
 
 // Entry is what is known of one job.
@@ -160,6 +189,17 @@
 	return records
 }
 
+// Absent returns records that drop the nodes which have said nothing since a time.
+func (l *Ledger) Absent(beforeMS int64) []Record {
+	var records []Record
+	for name, n := range l.Nodes {
+		if n.AtMS > 0 && n.AtMS < beforeMS {
+			records = append(records, NodeGoneRecord(name))
+		}
+	}
+	return records
+}
+
 // Open counts the accepted jobs that have not ended.
 func (l *Ledger) Open() int {
 	n := 0
@@ -235,7 +275,7 @@
 	case prefixServer:
 		return l.applyServer(id, value)
 	case prefixNode:
-		return l.applyNode(id, value)
+		return l.applyNode(id, value, offset)
 	case prefixMachine:
 		return l.applyMachine(id, value)
 	case prefixWave:
@@ -312,11 +352,24 @@
 	return Other, nil
 }
 
-func (l *Ledger) applyNode(name string, value []byte) (Change, error) {
+// applyNode ignores a record of an earlier start, which the store may carry out late.
+func (l *Ledger) applyNode(name string, value []byte, offset int64) (Change, error) {
+	if len(value) == 0 {
+		delete(l.Nodes, name)
+		return Other, nil
+	}
 	var n Node
 	if err := json.Unmarshal(value, &n); err != nil {
 		return Nothing, oops.Wrapf(err, "node %s", name)
 	}
+	old, there := l.Nodes[name]
+	n.Offset = offset
+	if there && n.Life == old.Life {
+		n.Offset = old.Offset
+		n.Ended, n.Bid, n.AtMS = max(n.Ended, old.Ended), max(n.Bid, old.Bid), max(n.AtMS, old.AtMS)
+	} else if there && n.Start < old.Start {
+		return Nothing, nil
+	}
 	l.Nodes[name] = n
 	return Other, nil
 }
--- a/ledger/records.go
+++ b/ledger/records.go
@@ -57,8 +57,11 @@
 	return Record{prefixMachine + machine, encode(o)}
 }
 
-// NodeRecord stores how strong a node is.
+// NodeRecord stores what a node says of itself.
 func NodeRecord(name string, n Node) Record { return Record{prefixNode + name, encode(n)} }
 
+// NodeGoneRecord drops a node that has left the fleet.
+func NodeGoneRecord(name string) Record { return Record{prefixNode + name, nil} }
+
 // IsDispatcher reports whether a key is that of the dispatcher's record.
 func IsDispatcher(key string) bool { return key == keyDispatcher }
