Expect the next turn of the demand, and order a wave's machines together

Change: package forecast learns the order and length of turns from the jobs in the ledger and pools get their machines before the turn; it expects nothing where no service stands out. Upkeep and moves of a round go out together within the platform's rate; an eighth of a pool is emptied at a time, a third once 0.6 of the wave's time is over. Long-running tasks avoid servers whose upkeep is still to come, and a server where one starts is asked every 0.25 s.

Ruled out: too few machines (the fleet has 2.5 times what a turn needs) and processor time (0.09 cores at most).

--- a/dispatch/availability.go
+++ b/dispatch/availability.go
@@ -120,6 +120,9 @@
 	}
 }
 
+// SetDue takes the servers whose machines have an upkeep before them.
+func (c *Core) SetDue(servers map[string]bool) { c.dueUpkeep = servers }
+
 // Ending notes that a server's machine is ordered away, so that its tasks count as away.
 func (c *Core) Ending(server string) {
 	if s := c.servers[server]; s != nil {
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -165,27 +165,28 @@
 
 // Core is the state of a dispatcher.
 type Core struct {
-	params   Params
-	config   *jobs.Configuration
-	servers  map[string]*server
-	jobs     map[string]*job
-	usage    map[string]jobs.Resources // by workspace
-	limits   map[string]jobs.Resources
-	arrivals map[string]*arrivals // by service
-	weights  map[string]float64   // by workspace: jobs a second that are owed
-	shares   map[string]*share
-	listRead bool // the platform's list of servers was read
-	dirty    map[string]*job
-	orders   []Order
-	records  []ledger.Record
-	ended    map[string]bool     // jobs whose end was decided
-	learned  map[string]*runtime // by queue
-	now      time.Duration
-	wallMS   int64
-	alone    bool
-	events   map[string]int // what happened since it was last taken, by reason
-	notes    []Note
-	jobNotes []JobNote
+	params    Params
+	config    *jobs.Configuration
+	servers   map[string]*server
+	jobs      map[string]*job
+	usage     map[string]jobs.Resources // by workspace
+	limits    map[string]jobs.Resources
+	arrivals  map[string]*arrivals // by service
+	weights   map[string]float64   // by workspace: jobs a second that are owed
+	shares    map[string]*share
+	listRead  bool            // the platform's list of servers was read
+	dueUpkeep map[string]bool // servers whose machines have an upkeep before them
+	dirty     map[string]*job
+	orders    []Order
+	records   []ledger.Record
+	ended     map[string]bool     // jobs whose end was decided
+	learned   map[string]*runtime // by queue
+	now       time.Duration
+	wallMS    int64
+	alone     bool
+	events    map[string]int // what happened since it was last taken, by reason
+	notes     []Note
+	jobNotes  []JobNote
 }
 
 // Note is something that an engineer on call wants to read in the log: runs that were given up, or a server that is left alone.
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -16,6 +16,8 @@
 // Demand is what a service's tasks need.
 type Demand struct {
 	Need jobs.Resources // of what runs, waits and is about to come
+	// Standing is the part of it that long-running tasks need.
+	Standing jobs.Resources
 	// Apart is the most tasks of a long-running step that must run on different servers.
 	Apart int
 }
@@ -104,6 +106,9 @@
 		default:
 			d.Need = d.Need.Add(times(s.spec.Occupies(), laterShare*float64(waiting)))
 		}
+		if s.spec.LongRunning {
+			d.Standing = d.Standing.Add(times(s.spec.Occupies(), float64(running+waiting)))
+		}
 		if s.spec.LongRunning && (s.spec.MaxPerServer > 0 || s.spec.MissBudget > 0) {
 			most := max(s.spec.MaxPerServer, 1)
 			d.Apart = max(d.Apart, (len(s.tasks)+most-1)/most)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -245,6 +245,7 @@
 	costSuspect   = 2.0  // for each failed run in a row
 	costFarRack   = 4.0  // its data is on another rack
 	costSibling   = 5.0  // for each task of the same long-running step there, which would end with it
+	costDue       = 3.0  // a long-running task would end there with the upkeep of the machine
 	costDisturbed = 1.0  // for each task there that it would disturb, or that would disturb it
 )
 
@@ -260,6 +261,9 @@
 	if rack := t.step.spec.Rack; rack != "" && !s.info.HasLabel(rack) {
 		cost += costFarRack
 	}
+	if t.step.spec.LongRunning && c.dueUpkeep[s.info.ID] {
+		cost += costDue
+	}
 	if t.step.spec.LongRunning || t.step.spec.Fills {
 		cost += neighbours(t, s)
 	}
--- a/election/election.go
+++ b/election/election.go
@@ -90,24 +90,26 @@
 type Place struct {
 	Vacant bool          // never taken, given up, or its dispatcher has ended
 	Silent time.Duration // since when nothing was heard of the dispatcher, or since when the place is known to be vacant
-	// Answer is how long the store took for its last answer to this node. It counts once the silence is beyond Suspicion.
+	// Answer is how long the store's answers took lately. It counts once the silence is beyond Suspicion.
 	Answer time.Duration
-	Rank   int
 }
 
-// Claim reports whether to claim the place now.
-func (p Place) Claim() bool {
-	turn := time.Duration(min(p.Rank, stepsMost)) * Step
+// Open reports whether some node should claim the place.
+func (p Place) Open() bool {
 	if p.Vacant {
-		return p.Silent >= turn
+		return p.Silent >= 0
 	}
 	needed := Silence
 	if p.Answer > promptAnswer {
 		needed += slowFactor * p.Answer
 	}
-	return p.Silent >= needed+turn
+	return p.Silent >= needed
 }
 
+// Turn returns for how long a place must have been open before a node claims it. It counts from the moment at which the node saw the place open, so
+// that nodes that see it late, as when a slow store recovers, don't claim together.
+func Turn(rank int) time.Duration { return time.Duration(min(rank, stepsMost)) * Step }
+
 // bidAfter is how long a weaker dispatcher keeps its place before a stronger node asks for it, so that a day of many changes isn't made worse.
 const bidAfter = 2 * time.Second
 
@@ -123,7 +125,7 @@
 			return false
 		}
 	}
-	return held >= bidAfter+time.Duration(min(Rank(nodes, name), stepsMost))*Step
+	return held >= bidAfter+Turn(Rank(nodes, name))
 }
 
 // Yield reports whether a dispatcher should give its place up for a node that has asked for it.
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -34,9 +34,7 @@
 	for at := time.Duration(0); at < 2*time.Second; at += Step {
 		claiming := 0
 		for name := range nodes {
-			p := Place{Silent: Silence + at, Rank: Rank(nodes, name)}
-			before := Place{Silent: Silence + at - Step, Rank: p.Rank}
-			if p.Claim() && !before.Claim() {
+			if Turn(Rank(nodes, name)) == at {
 				claiming++
 				assert.Equal(t, 0.8, nodes[name].Cores, "a weak node claims after the strong ones")
 			}
@@ -72,10 +70,11 @@
 // changed the dispatcher three times in 4 s (rutnat mix --seed 393352223081).
 func TestASlowStoreIsNoSilence(t *testing.T) {
 	for _, answer := range []time.Duration{240 * time.Millisecond, 332 * time.Millisecond} {
-		assert.False(t, Place{Silent: 2400 * time.Millisecond, Answer: answer}.Claim())
-		assert.True(t, Place{Silent: 6 * time.Second, Answer: answer}.Claim(), "but it isn't waited for without end")
+		assert.False(t, Place{Silent: 2400 * time.Millisecond, Answer: answer}.Open())
+		assert.True(t, Place{Silent: 6 * time.Second, Answer: answer}.Open(), "but it isn't waited for without end")
 	}
-	assert.True(t, Place{Silent: Silence, Answer: 4 * time.Millisecond}.Claim())
+	assert.True(t, Place{Silent: Silence, Answer: 4 * time.Millisecond}.Open())
+	assert.True(t, Place{Vacant: true}.Open())
 }
 
 // TestAWeakDispatcherGivesWay guards against a fleet that is dispatched by its weakest node for the rest of the day (trouble-2 of
--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -29,6 +29,8 @@
 	// renewWait is how long a renewal waits for an end on a busy server, and renewIdle on an idle one.
 	renewWait = 1000 * time.Millisecond
 	renewIdle = 2000 * time.Millisecond
+	// renewRising is the wait on a server with a long-running task that isn't at work yet: the next machine of a wave waits for it.
+	renewRising = 250 * time.Millisecond
 	// renewPause is the least time between two renewals of a server; ends that come meanwhile are reported together.
 	renewPause = 40 * time.Millisecond
 	// renewRetry is the pause after a renewal without an answer.
@@ -282,6 +284,8 @@
 	switch {
 	case r.LeaseUntil == 0:
 		wait = 0
+	case r.Rising:
+		wait = renewRising
 	case r.Busy:
 		wait = renewWait
 	}
--- a/jobnode/elector.go
+++ b/jobnode/elector.go
@@ -23,6 +23,8 @@
 	// waits as long for servers that it can't reach, so that work goes on while the store is away.
 	graceOfOrders = 7500 * time.Millisecond
 	electPause    = 50 * time.Millisecond
+	// claimRetry is the pause after a claim that failed: the store's queue of appends is full, and one more makes it worse.
+	claimRetry = 500 * time.Millisecond
 	// awaitClaim bounds the wait until the ledger shows who has won an epoch.
 	awaitClaim   = 2 * time.Second
 	producerName = "dispatcher"
@@ -37,6 +39,7 @@
 	presence   *presence
 	log        zerolog.Logger
 	able       time.Duration // since when this node could be the dispatcher
+	open       time.Duration // since when the place is open to claims; 0 if it isn't
 	lost       int64         // epoch in which this node was the dispatcher last
 	claimed    time.Duration // when the last claim was sent
 	// run decides until the place is lost or ctx ends. The tenure counts from claimed.
@@ -75,20 +78,27 @@
 	d := l.Dispatcher
 	now := boottime.Now()
 	if !configured || !f.synced || l.Nodes[e.node].Life != e.life || now-f.confirmed > readGap {
-		e.able = now
+		e.able, e.open = now, 0
 		return d, false
 	}
 	former := ledger.Former{Epoch: d.Epoch, Node: d.Node, Life: d.Life, Start: d.Start}
 	place := election.Place{
 		Vacant: d.Epoch == 0 || d.Released || l.Over(former) && d.Epoch != e.lost,
 		Silent: f.confirmed - max(f.heard, e.able),
-		Answer: f.answer, Rank: election.Rank(l.Nodes, e.node),
+		Answer: f.answer,
 	}
 	f.urgent = place.Vacant || now-f.heard > election.Suspicion
 	if !f.urgent && election.Bid(l.Nodes, e.node, d, now-f.claims[d.Epoch]) {
 		e.presence.bid(d.Epoch)
 	}
-	return d, place.Claim()
+	if !place.Open() {
+		e.open = 0
+		return d, false
+	}
+	if e.open == 0 {
+		e.open = now
+	}
+	return d, now-e.open >= election.Turn(election.Rank(l.Nodes, e.node))
 }
 
 // claim appends a claim. Whether it was the first one of its epoch shows in the ledger.
@@ -104,8 +114,9 @@
 	_, err := e.store.Append(ctx, platform.TopicJobs, []platform.Record{{Key: r.Key, Value: r.Value}},
 		&platform.Producer{Name: producerName, Epoch: d.Epoch, Sequence: 1})
 	events.Log(e.log, events.DispatcherClaimed, d.Epoch, errText(err))
+	e.open = 0
 	if err != nil {
-		sleep(ctx, retryPause)
+		sleep(ctx, claimRetry)
 		return
 	}
 	e.awaitOwn(ctx, d.Epoch)
--- a/jobnode/follower.go
+++ b/jobnode/follower.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"example.org/comfreyrouter/events"
+	"example.org/comfreyrouter/forecast"
 	"example.org/comfreyrouter/internal/boottime"
 	"example.org/comfreyrouter/ledger"
 	"example.org/comfreyrouter/platform"
@@ -24,6 +25,8 @@
 	decidePause = 8 * time.Millisecond
 	// urgentPause is the same while the dispatcher may be gone, so that its successor is known soon.
 	urgentPause = 60 * time.Millisecond
+	// answerKept is how long a slow answer counts: the appends that have queued up meanwhile take as long as the queue holds, 2 s.
+	answerKept = 3 * time.Second
 	// claimsKept is the number of epochs of which it is known when they began; more than the dispatchers of half a minute.
 	claimsKept = 64
 	// freshWithin is how old the last read may be for the ledger to answer that a job isn't known.
@@ -44,24 +47,26 @@
 	log   zerolog.Logger
 	link  link
 
-	mu        sync.Mutex
-	ledger    *ledger.Ledger
-	pages     map[string]int64        // offsets of the newest records, until the tail has passed them
-	wholeAt   int64                   // offset from which on the state is whole
-	behind    bool                    // the last read didn't reach the end
-	synced    bool                    // the state is whole
-	confirmed time.Duration           // start of the last read that succeeded
-	answer    time.Duration           // how long the last read took that didn't wait for records
-	urgent    bool                    // the dispatcher may be gone: read without waiting
-	heard     time.Duration           // when the dispatcher was last heard of
-	claims    map[int64]time.Duration // when the first record of an epoch was read
-	deciding  bool
-	changes   []change // since the dispatcher last asked; kept only while this node decides
-	signal    chan struct{}
+	mu         sync.Mutex
+	ledger     *ledger.Ledger
+	pages      map[string]int64 // offsets of the newest records, until the tail has passed them
+	wholeAt    int64            // offset from which on the state is whole
+	behind     bool             // the last read didn't reach the end
+	synced     bool             // the state is whole
+	confirmed  time.Duration    // start of the last read that succeeded
+	answer     time.Duration    // longest of the last reads that did not wait for records
+	answeredAt time.Duration
+	urgent     bool                    // the dispatcher may be gone: read without waiting
+	heard      time.Duration           // when the dispatcher was last heard of
+	claims     map[int64]time.Duration // when the first record of an epoch was read
+	history    *forecast.History       // of the jobs that were handed in
+	deciding   bool
+	changes    []change // since the dispatcher last asked; kept only while this node decides
+	signal     chan struct{}
 }
 
 func newFollower(store *platform.Store, log zerolog.Logger) *follower {
-	return &follower{store: store, log: log, link: link{name: "ledger", log: log}, ledger: ledger.New(), claims: map[int64]time.Duration{}, signal: make(chan struct{}, 1)}
+	return &follower{store: store, log: log, link: link{name: "ledger", log: log}, ledger: ledger.New(), claims: map[int64]time.Duration{}, history: forecast.New(), signal: make(chan struct{}, 1)}
 }
 
 // Run follows the ledger's topic until ctx ends.
@@ -118,7 +123,9 @@
 func (f *follower) answered(took time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.answer = took
+	if now := boottime.Now(); took >= f.answer || now-f.answeredAt > answerKept {
+		f.answer, f.answeredAt = took, now
+	}
 }
 
 // restore folds the newest record of each key.
@@ -171,6 +178,10 @@
 		events.Log(f.log, events.RecordSkipped, err)
 		return
 	}
+	if kind == ledger.JobAdded {
+		s := f.ledger.Jobs[id].Submission
+		f.history.Note(s.Service, s.ReceivedMS, &s.Spec)
+	}
 	if ledger.IsDispatcher(r.Key) {
 		f.heard = boottime.Now()
 		f.noteClaim()
--- a/jobnode/machines.go
+++ b/jobnode/machines.go
@@ -30,6 +30,10 @@
 	announcePause   = 4 * time.Millisecond
 	// clockDifference bounds the difference between the times of day of two machines.
 	clockDifference = 2500 * time.Millisecond
+	// ordersShare is the share of the platform's rate of orders that is used, and ordersBurst the time for which unused orders are kept: what
+	// is beyond the rate is refused, and each refusal has a price.
+	ordersShare = 0.9
+	ordersBurst = 500 * time.Millisecond
 	// orderRepeat is the pause before an order without an answer is repeated.
 	orderRepeat = 700 * time.Millisecond
 )
@@ -43,7 +47,9 @@
 	reported map[int64]string        // state of each wave that operators were told
 	ending   map[string]string       // servers that ended with an accepted order, unless it had taken effect before; by machine
 	reads    link
-	mu       sync.Mutex // guards what the answers to moves change
+	tokens   float64 // orders that the platform takes now
+	tokensAt time.Duration
+	mu       sync.Mutex // guards what the answers to orders change
 	fenced   bool
 }
 
@@ -143,40 +149,7 @@
 	if !ok {
 		return
 	}
-	for _, a := range k.planner.Pending(boottime.Now(), orderRepeat) {
-		k.order(ctx, a)
-	}
-	for !k.fenced && ctx.Err() == nil {
-		var actions []upkeep.Action
-		k.update(func(c *dispatch.Core) {
-			actions = k.planner.Next(boottime.Now(), machines, c)
-			for _, a := range actions {
-				if a.Cordon {
-					c.Cordon(a.Server, true)
-				} else {
-					c.Ending(a.Server)
-				}
-			}
-		})
-		ordered := false
-		for _, a := range actions {
-			if !a.Cordon {
-				ordered = true
-				k.order(ctx, a)
-			}
-		}
-		if !ordered {
-			break
-		}
-		if machines, ok = k.list(ctx); !ok {
-			return
-		}
-	}
-	k.moveMachines(ctx, machines)
-}
-
-// moveMachines moves machines to where they are needed, and repeats moves without an answer.
-func (k *keeper) moveMachines(ctx context.Context, machines []jobs.Machine) {
+	orders := k.planner.Pending(boottime.Now(), orderRepeat)
 	servers := make(map[string]string, len(machines))
 	for _, m := range machines {
 		servers[m.ID] = m.Server
@@ -185,28 +158,80 @@
 	for _, m := range k.repeats {
 		moves = append(moves, m)
 	}
+	budget := k.budget() - len(orders) - len(moves)
 	k.update(func(c *dispatch.Core) {
-		pools := k.poolStates(c)
-		for _, m := range k.pools.Plan(boottime.Now(), pools, k.movable(c, machines)) {
-			c.Ending(servers[m.Machine])
-			moves = append(moves, m)
-		}
+		c.SetDue(k.planner.Due(machines))
+		planned := k.planMoves(c, machines, servers, budget)
+		moves = append(moves, planned...)
+		orders = append(orders, k.planUpkeep(c, machines, budget-len(planned))...)
 	})
 	var wg sync.WaitGroup
 	for _, m := range moves {
 		wg.Go(func() { k.move(ctx, m, servers[m.Machine]) })
 	}
+	for _, a := range orders {
+		wg.Go(func() { k.order(ctx, a) })
+	}
 	wg.Wait()
 }
 
+// budget returns how many orders the platform takes in this round.
+func (k *keeper) budget() int {
+	now := boottime.Now()
+	rate := k.node.settings.MachineOrders * ordersShare
+	k.tokens = min(k.tokens+rate*(now-k.tokensAt).Seconds(), rate*ordersBurst.Seconds())
+	k.tokensAt = now
+	return int(k.tokens)
+}
+
+// planUpkeep cordons servers and returns the upkeep to order now. Each order counts against the budgets before the next one is planned.
+func (k *keeper) planUpkeep(c *dispatch.Core, machines []jobs.Machine, most int) []upkeep.Action {
+	var orders []upkeep.Action
+	for len(orders) < most {
+		ordered := false
+		for _, a := range k.planner.Next(boottime.Now(), machines, c) {
+			if a.Cordon {
+				c.Cordon(a.Server, true)
+				continue
+			}
+			c.Ending(a.Server)
+			orders, ordered = append(orders, a), true
+		}
+		if !ordered {
+			break
+		}
+	}
+	return orders
+}
+
+// planMoves returns the moves to order now.
+func (k *keeper) planMoves(c *dispatch.Core, machines []jobs.Machine, servers map[string]string, most int) []pooling.Move {
+	moves := k.pools.Plan(boottime.Now(), k.poolStates(c), k.movable(c, machines))
+	for i, m := range moves {
+		if i >= most {
+			k.pools.Settled(m.Machine) // planned again in the next round
+			continue
+		}
+		c.Ending(servers[m.Machine])
+	}
+	return moves[:max(0, min(len(moves), most))]
+}
+
 // poolStates returns the pools of the configuration with what their tasks need.
 func (k *keeper) poolStates(c *dispatch.Core) []pooling.Pool {
 	config := k.operators.view().config
 	demands := c.Demands()
+	k.follower.mu.Lock()
+	next, expected := k.follower.history.Expect(time.Now().UnixMilli())
+	k.follower.mu.Unlock()
 	pools := make([]pooling.Pool, 0, len(config.Services))
 	for name, s := range config.Services {
 		d := demands[name]
-		pools = append(pools, pooling.Pool{Name: name, Spare: s.Spare, Need: d.Need, Least: max(d.Apart, leastMachines)})
+		pool := pooling.Pool{Name: name, Spare: s.Spare, Need: d.Need, Least: max(d.Apart, leastMachines)}
+		if expected && next.Service == name {
+			pool.Soon, pool.In = d.Standing.Add(next.Need), jobs.Since(next.InMS)
+		}
+		pools = append(pools, pool)
 	}
 	slices.SortFunc(pools, func(a, b pooling.Pool) int { return cmp.Compare(a.Name, b.Name) })
 	return pools
@@ -234,6 +259,7 @@
 	events.Log(k.log, events.MoveOrdered, m.Machine, server, m.From, m.To, int(result))
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.tokens--
 	delete(k.repeats, m.Machine)
 	switch result {
 	case platform.OrderAccepted:
@@ -259,18 +285,14 @@
 
 // order orders the upkeep of a machine.
 func (k *keeper) order(ctx context.Context, a upkeep.Action) {
-	if !k.holdsPlace() {
-		k.planner.Refused(a.Wave, a.Machine)
-		k.update(func(c *dispatch.Core) { c.Cordon(a.Server, false) })
-		return
-	}
-	if !k.announce(ctx, a.Machine) {
-		k.planner.Refused(a.Wave, a.Machine)
-		k.update(func(c *dispatch.Core) { c.Cordon(a.Server, false) })
-		return
+	result := platform.OrderRefused
+	if k.holdsPlace() && k.announce(ctx, a.Machine) && k.holdsPlace() {
+		result = k.node.machines.Upkeep(ctx, k.node.settings.Name, k.place.Epoch, a.Machine, a.Wave)
 	}
-	result := k.node.machines.Upkeep(ctx, k.node.settings.Name, k.place.Epoch, a.Machine, a.Wave)
 	events.Log(k.log, events.UpkeepOrdered, a.Machine, a.Server, a.Wave, int(result))
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.tokens--
 	switch result {
 	case platform.OrderAccepted:
 		k.planner.Accepted(a.Wave, a.Machine)
--- a/jobnode/settings.go
+++ b/jobnode/settings.go
@@ -19,6 +19,7 @@
 	ReadyAddress    netip.AddrPort `yaml:"ready_address"`    // answers whether the node takes new calls, and serves its metrics
 	StoreAddress    netip.AddrPort `yaml:"store_address"`    // the platform's store
 	MachinesAddress netip.AddrPort `yaml:"machines_address"` // the platform's list of machines; may be left out
+	MachineOrders   float64        `yaml:"machine_orders"`   // orders for machines that the platform takes a second
 	Cores           float64        `yaml:"cores"`            // processors that this node may use; a stronger node dispatches sooner
 	LogLevel        string         `yaml:"log_level"`        // debug, info, warn or error
 	Bounds          Bounds         `yaml:"bounds"`
@@ -37,7 +38,7 @@
 
 // DefaultSettings returns the settings that may be left out, with the bounds of the platform's pages.
 func DefaultSettings() Settings {
-	return Settings{LogLevel: "info", Cores: 1, Bounds: Bounds{
+	return Settings{LogLevel: "info", Cores: 1, MachineOrders: 64, Bounds: Bounds{
 		RevokeWithin: 5 * time.Second, LeaseMost: 6 * time.Second, Grace: 6 * time.Second, Early: 250 * time.Millisecond,
 		OrderTurn: 3 * time.Second, Upkeep: 2 * time.Second, KeepFinished: 5 * time.Minute,
 	}}
@@ -73,6 +74,9 @@
 			add("bounds."+field, "must be above 0")
 		}
 	}
+	if s.MachineOrders <= 0 {
+		add("machine_orders", "must be above 0")
+	}
 	if err := problems.Err(); err != nil {
 		return Settings{}, errkind.Wrap(errkind.InvalidConfig, err)
 	}
--- a/jobnode/template_test.go
+++ b/jobnode/template_test.go
@@ -24,6 +24,9 @@
 		"bounds.maintenance_s": "2", "bounds.migrate_s": "1.5", "cloud_api.duty_per_s": "64.0",
 	}
 	rendered := regexp.MustCompile(`\{\{[^}]*\}\}`).ReplaceAllStringFunc(string(text), func(placeholder string) string {
+		if strings.HasPrefix(placeholder, "{{#") || strings.HasPrefix(placeholder, "{{/") {
+			return "" // a section whose value is there
+		}
 		value, ok := values[strings.Trim(placeholder, "{}")]
 		require.True(t, ok, placeholder)
 		return value
@@ -34,6 +37,7 @@
 	require.NoError(t, err)
 	assert.Equal(t, "edge-1", s.Name)
 	assert.InDelta(t, 0.4, s.Cores, 0)
+	assert.InDelta(t, 64, s.MachineOrders, 0)
 	assert.Equal(t, 6*time.Second, s.Bounds.LeaseMost)
 	assert.Equal(t, 2*time.Second, s.Bounds.Upkeep)
 	assert.Equal(t, "10.200.0.82:8344", s.MachinesAddress.String())
--- a/pooling/pooling.go
+++ b/pooling/pooling.go
@@ -17,6 +17,11 @@
 	parkAfter = 1200 * time.Millisecond
 	// headroom is the share by which a pool's machines exceed what its tasks need, because tasks don't fill machines exactly.
 	headroom = 1.12
+	// comesWithin is how long a move takes until the first task can start: 1.5 s of the machine, then its server's entry, the first report
+	// and the record that it may have work.
+	comesWithin = 2300 * time.Millisecond
+	// betweenMoves is the time for each machine of many that move together: the platform takes 64 orders a second.
+	betweenMoves = 18 * time.Millisecond
 	// settleWithin is how long a moved machine counts for its new pool before its server has to be there.
 	settleWithin = 4 * time.Second
 )
@@ -27,6 +32,10 @@
 	Spare bool
 	// Need is what the tasks that run, wait, or are about to come need together.
 	Need jobs.Resources
+	// Soon is what the pool is expected to need once its turn comes, in a time of In, beside nothing but its long-running tasks. It is zero
+	// if no turn is expected.
+	Soon jobs.Resources
+	In   time.Duration
 	// Least is the least number of machines, for tasks that must be apart from each other.
 	Least int
 }
@@ -112,6 +121,9 @@
 	for _, s := range states {
 		slices.SortFunc(s.idle, func(a, b Machine) int { return cmp.Or(cmp.Compare(b.Idle, a.Idle), cmp.Compare(a.ID, b.ID)) })
 		s.want = max(s.pool.Least, wanted(s.pool.Need, room))
+		if soon := wanted(s.pool.Soon, room); soon > s.want && s.pool.In <= lead(soon-s.have) {
+			s.want = soon
+		}
 		if s.pool.Spare {
 			s.want = 0
 		}
@@ -119,6 +131,11 @@
 	return states
 }
 
+// lead returns how long before a turn the moves of missing machines have to begin.
+func lead(missing int) time.Duration {
+	return comesWithin + time.Duration(max(missing, 0))*betweenMoves
+}
+
 // largest returns the usual room of a machine.
 func largest(machines []Machine) jobs.Resources {
 	var r jobs.Resources
--- a/upkeep/upkeep.go
+++ b/upkeep/upkeep.go
@@ -36,6 +36,14 @@
 	Cordon  bool // otherwise the upkeep is ordered
 }
 
+// Shares of a pool's machines that may be emptied for a wave at the same time: one in emptyShare at first, and one in hurryShare once
+// hurryAfter of the wave's time is over, since a wave that is late leaves machines without upkeep.
+const (
+	emptyShare = 8
+	hurryShare = 3
+	hurryAfter = 0.6
+)
+
 // flight is a machine whose upkeep has been begun.
 type flight struct {
 	cordonedAt time.Duration
@@ -48,6 +56,7 @@
 // wave is the state of one wave.
 type wave struct {
 	asked   jobs.Wave
+	seen    time.Duration // when it was first planned
 	done    map[string]bool
 	flights map[string]*flight
 }
@@ -120,6 +129,9 @@
 	var actions []Action
 	for _, number := range p.numbers() {
 		w := p.waves[number]
+		if w.seen == 0 {
+			w.seen = now
+		}
 		w.settle(now, machines, p.duration)
 		actions = append(actions, w.order(now, machines, fleet)...)
 		actions = append(actions, w.cordon(now, machines, fleet)...)
@@ -191,14 +203,30 @@
 	return nil
 }
 
-// cordon begins to empty machines, the least busy of each pool first, and one of each pool at a time.
-func (w *wave) cordon(now time.Duration, machines map[string]jobs.Machine, fleet Fleet) []Action {
-	busy := map[string]bool{}
+// emptying returns how many machines of each pool may be emptied in addition.
+func (w *wave) emptying(now time.Duration, machines map[string]jobs.Machine) map[string]int {
+	share := emptyShare
+	if (now - w.seen).Seconds() > hurryAfter*w.asked.WithinS {
+		share = hurryShare
+	}
+	size := map[string]int{}
+	for _, m := range machines {
+		size[m.Pool]++
+	}
+	for pool, n := range size {
+		size[pool] = max(1, n/share)
+	}
 	for id, f := range w.flights {
 		if !f.ordered {
-			busy[machines[id].Pool] = true
+			size[machines[id].Pool]--
 		}
 	}
+	return size
+}
+
+// cordon begins to empty machines, the least busy of each pool first.
+func (w *wave) cordon(now time.Duration, machines map[string]jobs.Machine, fleet Fleet) []Action {
+	left := w.emptying(now, machines)
 	var waiting []jobs.Machine
 	for _, id := range w.asked.Machines {
 		if m := machines[id]; m.Up && !w.done[id] && w.flights[id] == nil {
@@ -210,10 +238,10 @@
 	})
 	var actions []Action
 	for _, m := range waiting {
-		if busy[m.Pool] {
+		if left[m.Pool] <= 0 {
 			continue
 		}
-		busy[m.Pool] = true
+		left[m.Pool]--
 		w.flights[m.ID] = &flight{cordonedAt: now}
 		actions = append(actions, Action{Wave: w.asked.Number, Machine: m.ID, Server: m.Server, Cordon: true})
 	}
@@ -237,6 +265,26 @@
 	}
 }
 
+// Due returns the servers whose machines have their upkeep before them.
+func (p *Planner) Due(listed []jobs.Machine) map[string]bool {
+	due := map[string]bool{}
+	for _, w := range p.waves {
+		if w.complete() {
+			continue
+		}
+		asked := make(map[string]bool, len(w.asked.Machines))
+		for _, id := range w.asked.Machines {
+			asked[id] = !w.done[id]
+		}
+		for _, m := range listed {
+			if asked[m.ID] {
+				due[m.Server] = true
+			}
+		}
+	}
+	return due
+}
+
 // Pending returns the machines whose order has no answer yet and has to be repeated.
 func (p *Planner) Pending(now, after time.Duration) []Action {
 	var actions []Action
