Follow the trend of the demand, and expect turns of services that had none yet

Change: services without a turn so far come first, each with its part if there are two; what is expected is the demand of the first 2 s of a turn, not its peak; and a rise of the demand that is certain by two standard errors is added to a pool's need.

Ruled out: the length of turns, which was learned rightly (10 s).

--- a/forecast/forecast.go
+++ b/forecast/forecast.go
@@ -1,10 +1,11 @@
-// Package forecast learns in which order the services of a fleet are in demand, and says which one is next and when. It answers one load
-// pattern: demand that turns from service to service, each in its time asking several times its mean for some seconds and little in between. A
-// machine needs about two seconds to come, so that machines which only follow the demand come when half of a turn is over. Where no service
-// stands out, or the turns come at no regular times, it expects nothing. It has no clock and does no I/O.
+// Package forecast says what the services of a fleet are about to need, from the jobs that were handed in lately. It answers one load pattern:
+// demand that turns from service to service, each in its time asking several times its mean for some seconds and little in between. A machine
+// needs about two seconds to come, so that machines which only follow the demand come late while it rises, and when a turn begins. Where demand
+// is even, or the turns come at no regular times, it expects nothing. It has no clock and does no I/O.
 package forecast
 
 import (
+	"cmp"
 	"slices"
 
 	"example.org/comfreyrouter/jobs"
@@ -20,15 +21,15 @@
 	// standsOut is by how much the work of one service must exceed that of each other one for the service to have the turn.
 	standsOut = 2.0
 	// firmBins is for how many bins in a row a service must stand out before its turn counts.
-	firmBins = 3
-	// turnsLeast is the number of changes of the turn from which on they count as regular.
-	turnsLeast = 2
+	firmBins = 2
 	// regular is by which share the length of turns may differ from their median to count as regular.
 	regular = 0.35
 	// lateMS is how long after its time a turn is still expected, in milliseconds.
 	lateMS = 800
-	// peakShare is the share of the largest demand of a service's last turn that is expected of the next one.
-	peakShare = 0.7
+	// openingBins is the time after the start of a turn whose demand is expected at its start: about the time that a machine needs to come.
+	openingBins = 8
+	// unseenMost is the most services without a turn so far among which the next turn is expected; each gets an equal share of it.
+	unseenMost = 2
 )
 
 // bin is the work that arrived in one span, by service, in thousandths of a core and megabytes times milliseconds.
@@ -97,6 +98,7 @@
 	service string
 	start   int64 // bin
 	peak    jobs.Resources
+	opening jobs.Resources // openingBins after the start
 }
 
 // leader returns the service that stands out, or nothing.
@@ -142,6 +144,9 @@
 		}
 		if n := len(all); n > 0 && all[n-1].service == service {
 			all[n-1].peak = larger(all[n-1].peak, rates[service])
+			if k <= all[n-1].start+openingBins {
+				all[n-1].opening = larger(all[n-1].opening, rates[service])
+			}
 		}
 	}
 	return all
@@ -154,79 +159,94 @@
 	return jobs.Resources{CPU: max(a.CPU, b.CPU), MemoryMB: max(a.MemoryMB, b.MemoryMB), GPU: max(a.GPU, b.GPU)}
 }
 
-// Next is the service whose turn is expected next.
+// Next is a service whose turn is expected next.
 type Next struct {
 	Service string
 	InMS    int64 // until then; below 0 if it is late
 	Need    jobs.Resources
 }
 
-// Expect returns whose turn is next, at a Unix time in milliseconds, or false if the turns so far don't tell.
-func (h *History) Expect(nowMS int64) (Next, bool) {
+// Expect returns whose turn is next, at a Unix time in milliseconds: nothing if the turns so far don't tell, and more than one service if none of
+// these has had a turn yet.
+func (h *History) Expect(nowMS int64) []Next {
 	all := h.turns()
 	length, ok := turnLength(all)
 	if !ok {
-		return Next{}, false
-	}
-	next, ok := successor(all)
-	if !ok {
-		return Next{}, false
+		return nil
 	}
 	in := (all[len(all)-1].start+length)*binMS - nowMS
 	if in < -lateMS {
-		return Next{}, false
+		return nil
+	}
+	if t, ok := followed(all); ok {
+		return []Next{{t.service, in, t.opening}}
+	}
+	unseen := h.unseen(all)
+	if len(unseen) == 0 {
+		if t, ok := longestAgo(all); ok {
+			return []Next{{t.service, in, t.opening}}
+		}
+		return nil
+	}
+	if len(unseen) > unseenMost {
+		return nil
 	}
-	return Next{next.service, in, jobs.Resources{
-		CPU: share(next.peak.CPU), MemoryMB: share(next.peak.MemoryMB), GPU: share(next.peak.GPU),
-	}}, true
+	next := make([]Next, 0, len(unseen))
+	for _, service := range unseen {
+		next = append(next, Next{service, in, part(middle(all), int64(len(unseen)))})
+	}
+	return next
 }
 
-func share(n int64) int64 { return int64(peakShare * float64(n)) }
+func part(r jobs.Resources, n int64) jobs.Resources {
+	return jobs.Resources{CPU: r.CPU / n, MemoryMB: r.MemoryMB / n, GPU: r.GPU / n}
+}
 
-// turnLength returns the median of the times between the starts of turns, in bins, if half of them are near it.
-func turnLength(all []turn) (int64, bool) {
-	var lengths []int64
-	for i := 1; i < len(all); i++ {
-		lengths = append(lengths, all[i].start-all[i-1].start)
-	}
-	if len(lengths) < turnsLeast {
-		return 0, false
-	}
-	slices.Sort(lengths)
-	median := lengths[len(lengths)/2]
-	near := 0
-	for _, l := range lengths {
-		if float64(max(l-median, median-l)) <= regular*float64(median) {
-			near++
+// middle returns the opening of the turn that is the median by size.
+func middle(all []turn) jobs.Resources {
+	sorted := slices.SortedFunc(slices.Values(all), func(a, b turn) int { return cmp.Compare(a.opening.CPU, b.opening.CPU) })
+	return sorted[len(sorted)/2].opening
+}
+
+// unseen returns the services of which jobs have come, but that had no turn.
+func (h *History) unseen(all []turn) []string {
+	var services []string
+	for _, b := range h.bins {
+		for service := range b {
+			had := slices.ContainsFunc(all, func(t turn) bool { return t.service == service })
+			if !had && !slices.Contains(services, service) {
+				services = append(services, service)
+			}
 		}
 	}
-	return median, 2*near >= len(lengths)
+	slices.Sort(services)
+	return services
 }
 
-// successor returns the last turn of the service that is expected next: the one that came after the present one last time, or else the one
-// whose turn was longest ago.
-func successor(all []turn) (turn, bool) {
+// followed returns the last turn of the service whose turn came after that of the present one last time.
+func followed(all []turn) (turn, bool) {
 	present := all[len(all)-1].service
-	service := ""
 	for i := len(all) - 2; i >= 0; i-- {
 		if all[i].service == present {
-			service = all[i+1].service
-			break
+			return last(all, all[i+1].service)
 		}
 	}
-	if service == "" {
-		service = all[0].service
-		seen := map[string]bool{}
-		for i := len(all) - 1; i >= 0; i-- {
-			if !seen[all[i].service] {
-				seen[all[i].service] = true
-				service = all[i].service
-			}
+	return turn{}, false
+}
+
+// longestAgo returns the turn that is longest ago among the last ones of all services but the present one.
+func longestAgo(all []turn) (turn, bool) {
+	seen := map[string]bool{}
+	var oldest turn
+	for i := len(all) - 1; i >= 0; i-- {
+		if !seen[all[i].service] {
+			seen[all[i].service], oldest = true, all[i]
 		}
 	}
-	if service == present {
-		return turn{}, false
-	}
+	return oldest, len(seen) > 1
+}
+
+func last(all []turn, service string) (turn, bool) {
 	for i := len(all) - 2; i >= 0; i-- {
 		if all[i].service == service {
 			return all[i], true
@@ -234,3 +254,23 @@
 	}
 	return turn{}, false
 }
+
+// turnLength returns the median of the times between the starts of turns, in bins, if half of them are near it.
+func turnLength(all []turn) (int64, bool) {
+	var lengths []int64
+	for i := 1; i < len(all); i++ {
+		lengths = append(lengths, all[i].start-all[i-1].start)
+	}
+	if len(lengths) == 0 {
+		return 0, false
+	}
+	slices.Sort(lengths)
+	median := lengths[len(lengths)/2]
+	near := 0
+	for _, l := range lengths {
+		if float64(max(l-median, median-l)) <= regular*float64(median) {
+			near++
+		}
+	}
+	return median, 2*near >= len(lengths)
+}
--- a/jobnode/machines.go
+++ b/jobnode/machines.go
@@ -10,6 +10,7 @@
 
 	"example.org/comfreyrouter/dispatch"
 	"example.org/comfreyrouter/events"
+	"example.org/comfreyrouter/forecast"
 	"example.org/comfreyrouter/internal/boottime"
 	"example.org/comfreyrouter/jobs"
 	"example.org/comfreyrouter/ledger"
@@ -217,19 +218,33 @@
 	return moves[:max(0, min(len(moves), most))]
 }
 
+// forecast returns the services whose turn is expected next, and by how much the need of each service rises until machines come.
+func (k *keeper) forecast(config *jobs.Configuration) (map[string]forecast.Next, map[string]jobs.Resources) {
+	now := time.Now().UnixMilli()
+	next, trends := map[string]forecast.Next{}, map[string]jobs.Resources{}
+	k.follower.mu.Lock()
+	defer k.follower.mu.Unlock()
+	for _, n := range k.follower.history.Expect(now) {
+		next[n.Service] = n
+	}
+	for name := range config.Services {
+		trends[name] = k.follower.history.Trend(name, now, pooling.ComesWithin.Milliseconds())
+	}
+	return next, trends
+}
+
 // poolStates returns the pools of the configuration with what their tasks need.
 func (k *keeper) poolStates(c *dispatch.Core) []pooling.Pool {
 	config := k.operators.view().config
 	demands := c.Demands()
-	k.follower.mu.Lock()
-	next, expected := k.follower.history.Expect(time.Now().UnixMilli())
-	k.follower.mu.Unlock()
+	next, trends := k.forecast(config)
 	pools := make([]pooling.Pool, 0, len(config.Services))
 	for name, s := range config.Services {
 		d := demands[name]
 		pool := pooling.Pool{Name: name, Spare: s.Spare, Need: d.Need, Least: max(d.Apart, leastMachines)}
-		if expected && next.Service == name {
-			pool.Soon, pool.In = d.Standing.Add(next.Need), jobs.Since(next.InMS)
+		pool.Need = pool.Need.Add(trends[name])
+		if n, expected := next[name]; expected {
+			pool.Soon, pool.In = d.Standing.Add(n.Need), jobs.Since(n.InMS)
 		}
 		pools = append(pools, pool)
 	}
--- a/pooling/pooling.go
+++ b/pooling/pooling.go
@@ -17,9 +17,9 @@
 	parkAfter = 1200 * time.Millisecond
 	// headroom is the share by which a pool's machines exceed what its tasks need, because tasks don't fill machines exactly.
 	headroom = 1.12
-	// comesWithin is how long a move takes until the first task can start: 1.5 s of the machine, then its server's entry, the first report
+	// ComesWithin is how long a move takes until the first task can start: 1.5 s of the machine, then its server's entry, the first report
 	// and the record that it may have work.
-	comesWithin = 2300 * time.Millisecond
+	ComesWithin = 2300 * time.Millisecond
 	// betweenMoves is the time for each machine of many that move together: the platform takes 64 orders a second.
 	betweenMoves = 18 * time.Millisecond
 	// settleWithin is how long a moved machine counts for its new pool before its server has to be there.
@@ -133,7 +133,7 @@
 
 // lead returns how long before a turn the moves of missing machines have to begin.
 func lead(missing int) time.Duration {
-	return comesWithin + time.Duration(max(missing, 0))*betweenMoves
+	return ComesWithin + time.Duration(max(missing, 0))*betweenMoves
 }
 
 // largest returns the usual room of a machine.
