Count only machines whose servers answer as a pool's capacity

Change: pooling leaves machines out whose server doesn't answer, and all of a data centre most of whose servers don't.

--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -116,6 +116,12 @@
 	}
 }
 
+// Reachable reports whether a server is known and answered its last renewal, or hasn't been asked yet.
+func (c *Core) Reachable(server string) bool {
+	s := c.servers[server]
+	return s != nil && !s.silent
+}
+
 // Idle reports whether nothing runs on a server, and for how long nothing has. A server that isn't known yet, or that has listed ends
 // which aren't stored yet, isn't idle.
 func (c *Core) Idle(server string) (bool, time.Duration) {
--- a/jobnode/machines.go
+++ b/jobnode/machines.go
@@ -35,6 +35,9 @@
 	// is beyond the rate is refused, and each refusal has a price.
 	ordersShare = 0.9
 	ordersBurst = 500 * time.Millisecond
+	// unknownAfter is how long after a machine came up, or after a takeover, a server may be unknown: entries are written each 1.5 s and read
+	// within 0.3 s.
+	unknownAfter = 2500 * time.Millisecond
 	// orderRepeat is the pause before an order without an answer is repeated.
 	orderRepeat = 700 * time.Millisecond
 )
@@ -48,7 +51,8 @@
 	reported map[int64]string        // state of each wave that operators were told
 	ending   map[string]string       // servers that ended with an accepted order, unless it had taken effect before; by machine
 	reads    link
-	tokens   float64 // orders that the platform takes now
+	upSince  map[string]sighting // by machine
+	tokens   float64             // orders that the platform takes now
 	tokensAt time.Duration
 	mu       sync.Mutex // guards what the answers to orders change
 	fenced   bool
@@ -62,7 +66,7 @@
 	k := &keeper{
 		dispatcher: d, planner: upkeep.New(d.node.settings.Bounds.Upkeep), pools: pooling.New(),
 		reads: link{name: "list of machines", log: d.log}, repeats: map[string]pooling.Move{},
-		reported: map[int64]string{}, ending: map[string]string{},
+		upSince: map[string]sighting{}, reported: map[int64]string{}, ending: map[string]string{},
 	}
 	for ctx.Err() == nil && !k.fenced {
 		k.planner.Ask(d.operators.allWaves(), k.storedWave)
@@ -252,14 +256,33 @@
 	return pools
 }
 
+// arrives reports whether a machine has come up so lately that its server may not be listed yet.
+func (k *keeper) arrives(m jobs.Machine) bool {
+	now := boottime.Now()
+	if seen, ok := k.upSince[m.ID]; !ok || seen.server != m.Server {
+		k.upSince[m.ID] = sighting{m.Server, now}
+		return true
+	}
+	return now-k.upSince[m.ID].at < unknownAfter
+}
+
+// sighting is when a machine was first listed with a server.
+type sighting struct {
+	server string
+	at     time.Duration
+}
+
 func (k *keeper) movable(c *dispatch.Core, machines []jobs.Machine) []pooling.Machine {
 	out := make([]pooling.Machine, 0, len(machines))
+	config := k.operators.view().config
+	settled := boottime.Now()-k.acquired > unknownAfter
 	for _, m := range machines {
 		empty, idle := c.Idle(m.Server)
 		_, repeated := k.repeats[m.ID]
 		_, ending := k.ending[m.ID]
 		out = append(out, pooling.Machine{
 			ID: m.ID, Pool: m.Pool, Up: m.Up, Room: m.Room, Empty: empty, Idle: idle, Locked: repeated || ending || k.planner.Begun(m.ID),
+			DataCentre: m.DataCentre, Lost: m.Up && !c.Reachable(m.Server) && settled && !config.Services[m.Pool].Spare && !k.arrives(m),
 		})
 	}
 	return out
--- a/jobs/model.go
+++ b/jobs/model.go
@@ -274,6 +274,7 @@
 // Machine is a machine of the fleet as the platform lists it.
 type Machine struct {
 	ID, Pool, Server string
+	DataCentre       string
 	Up               bool
 	Phase            string
 	Room             Resources
--- a/pooling/pooling.go
+++ b/pooling/pooling.go
@@ -48,6 +48,35 @@
 	Empty    bool          // nothing runs on it
 	Idle     time.Duration // how long nothing has run on it
 	Locked   bool          // it is about to have its upkeep
+	// DataCentre is where the machine is. Lost says that its server doesn't answer: it is no capacity, and moving it would bring none.
+	DataCentre string
+	Lost       bool
+}
+
+// Shares of the machines with a server that must be lost, and their least number, for a whole data centre to count as cut off. Machines of the
+// spare pool have no server that could be asked.
+const (
+	cutShare = 0.5
+	cutLeast = 3
+)
+
+// cutOff returns the data centres most of whose servers don't answer.
+func cutOff(machines []Machine, spare map[string]bool) map[string]bool {
+	lost, all := map[string]int{}, map[string]int{}
+	for _, m := range machines {
+		if !m.Up || spare[m.Pool] {
+			continue
+		}
+		all[m.DataCentre]++
+		if m.Lost {
+			lost[m.DataCentre]++
+		}
+	}
+	cut := map[string]bool{}
+	for place, n := range lost {
+		cut[place] = n >= cutLeast && float64(n) > cutShare*float64(all[place])
+	}
+	return cut
 }
 
 // Move is a decision.
@@ -100,7 +129,15 @@
 	for _, pool := range pools {
 		states[pool.Name] = &state{pool: pool}
 	}
+	spare := map[string]bool{}
+	for _, pool := range pools {
+		spare[pool.Name] = pool.Spare
+	}
+	cut := cutOff(machines, spare)
 	for _, m := range machines {
+		if m.Lost || cut[m.DataCentre] {
+			continue
+		}
 		if f, ok := p.flights[m.ID]; ok {
 			if (m.Pool == f.to && m.Up) || now-f.since > settleWithin {
 				delete(p.flights, m.ID)
--- a/pooling/pooling_test.go
+++ b/pooling/pooling_test.go
@@ -187,3 +187,25 @@
 	assert.Greater(t, following.onTime, fixed.onTime)
 	assert.Less(t, following.machineSeconds, fixed.machineSeconds)
 }
+
+// TestMachinesThatDoNotAnswerAreReplaced guards against a pool that counts dark machines as capacity: while a data centre is cut off, a third of
+// each pool is out of reach, and machines of the spare pool that stand there bring nothing.
+func TestMachinesThatDoNotAnswerAreReplaced(t *testing.T) {
+	machines := append(append(fill("a", 6, 0), fill("b", 2, 0)...), fill("spare", 6, 0)...)
+	for i := range machines {
+		machines[i].DataCentre = fmt.Sprintf("z%d", i%2)
+		if machines[i].Pool == "a" {
+			machines[i].Empty = false
+		}
+	}
+	assert.Empty(t, New().Plan(0, pools(5*64000, 0), machines), "enough")
+	for i := range machines {
+		machines[i].Lost = machines[i].DataCentre == "z1" && machines[i].Pool != "spare"
+	}
+	moves := New().Plan(0, pools(5*64000, 0), machines)
+	assert.Len(t, moves, 3, "as many as the spare pool has in the other data centre")
+	for _, m := range moves {
+		assert.Equal(t, "spare", m.From)
+		assert.Equal(t, "a", m.To)
+	}
+}
