Fetch tickets for queues whose policy allows only some servers

Cause: tasks of such queues waited for ever, since nobody fetched the tickets that their starts have to carry.

Also: routes are looked up by name instead of by a search over all of them for each job, and pools stay as operators laid them out until a new dispatcher has seen demand, for 15 s at most.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -103,6 +103,7 @@
 	index      int
 	tasks      []*task
 	doneCount  int
+	tickets    tickets
 }
 
 // occurrence is one execution of a job's steps.
@@ -169,6 +170,8 @@
 	config    *jobs.Configuration
 	servers   map[string]*server
 	jobs      map[string]*job
+	routes    map[string]*jobs.Route    // by name
+	policies  bool                      // a queue has a policy
 	usage     map[string]jobs.Resources // by workspace
 	limits    map[string]jobs.Resources
 	arrivals  map[string]*arrivals // by service
@@ -228,7 +231,7 @@
 // New returns a core that takes over what a ledger says.
 func New(p Params, l *ledger.Ledger, config *jobs.Configuration, now time.Duration, wallMS int64) *Core {
 	c := &Core{
-		params: p, config: config, servers: map[string]*server{}, jobs: map[string]*job{}, usage: map[string]jobs.Resources{},
+		params: p, servers: map[string]*server{}, jobs: map[string]*job{}, usage: map[string]jobs.Resources{},
 		dirty: map[string]*job{}, ended: map[string]bool{}, learned: map[string]*runtime{}, events: map[string]int{},
 		arrivals: map[string]*arrivals{}, shares: map[string]*share{},
 		now: now, wallMS: wallMS,
@@ -280,14 +283,18 @@
 	for _, w := range config.Workspaces {
 		c.limits[w.Name], c.weights[w.Name] = w.Limit, w.Weight
 	}
+	c.routes, c.policies = map[string]*jobs.Route{}, false
+	for i := range config.Routes {
+		r := &config.Routes[i]
+		c.routes[r.Name] = r
+		c.policies = c.policies || r.Policy != nil
+	}
 }
 
 // serviceOf returns the pool on which a job runs now: that of its queue, or the last one known if the queue is gone.
 func (c *Core) serviceOf(j *job) string {
-	for i := range c.config.Routes {
-		if c.config.Routes[i].Name == j.sub.Route {
-			return c.config.Routes[i].Service
-		}
+	if r := c.routes[j.sub.Route]; r != nil {
+		return r.Service
 	}
 	return j.sub.Service
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -216,6 +216,9 @@
 		if !t.step.spec.Occupies().Fits(free) || !s.info.HasLabel(t.step.spec.Label) || c.crowded(t, s) {
 			continue
 		}
+		if _, allowed := c.ticketFor(t.step, s); !allowed {
+			continue
+		}
 		cost := c.cost(t, s, free)
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -15,8 +15,6 @@
 	// standsAfter is how long a run may show no progress before it is started elsewhere. A report comes at least each second, and on a
 	// server that is 7 times slower the longest tasks still advance by a percent in 0.4 s.
 	standsAfter = 2500 * time.Millisecond
-	// ticketPause is the pause of a task whose queue asks for tickets, so that it doesn't use up the calls to the servers.
-	ticketPause = time.Second
 	// failsToHold is the number of failed runs in a row, of different tasks, after which a server is left alone for a while.
 	failsToHold = 3
 	// holdFirst and holdMost bound how long a failing server is left alone; the span doubles with each failed probe.
@@ -35,8 +33,9 @@
 		j.beganLate = c.candidate(j).rank == rankLate
 		c.markDirty(j)
 	}
+	ticket, _ := c.ticketFor(t.step, s) // choose has found that there is one, if there must be
 	c.orders = append(c.orders, Order{Server: s.info, Start: &jobs.Order{
-		Task: t.id, Attempt: r.attempt, Text: j.sub.Spec.Text, Checkpoint: t.checkpoint, LeaseUntil: c.lease(s), Fence: c.params.Epoch,
+		Ticket: ticket, Task: t.id, Attempt: r.attempt, Text: j.sub.Spec.Text, Checkpoint: t.checkpoint, LeaseUntil: c.lease(s), Fence: c.params.Epoch,
 	}})
 }
 
@@ -127,11 +126,13 @@
 	case jobs.StartNoRoom:
 		r.server.heldUntil = max(r.server.heldUntil, c.now+failPause)
 	case jobs.StartNoTicket:
-		r.task.notBefore = c.now + ticketPause // not the server's fault
+		c.dropTicket(r.task.step, r.server.info.ID) // not the server's fault
 	default:
 		c.penalize(r.server)
 	}
-	r.task.avoid = r.server.info.ID
+	if result != jobs.StartNoTicket {
+		r.task.avoid = r.server.info.ID
+	}
 	c.release(r)
 }
 
--- a/forecast/forecast.go
+++ b/forecast/forecast.go
@@ -274,3 +274,6 @@
 	}
 	return median, 2*near >= len(lengths)
 }
+
+// Empty reports whether no job has come yet.
+func (h *History) Empty() bool { return len(h.bins) == 0 }
--- a/internal/standin/taskserver/server.go
+++ b/internal/standin/taskserver/server.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -12,18 +13,21 @@
 type Server struct {
 	ID      string
 	RunTime time.Duration // of every task
-
-	mu     sync.Mutex
-	born   time.Time
-	lease  int64
-	fence  int64
-	active map[string]*run
-	newest map[string]int64
-	ended  []any
-	number int64
-	starts map[string]int // by task
-	grown  chan struct{}
-	mux    *http.ServeMux
+	// Ticket, if set, returns the ticket that a start of a step has to carry.
+	Ticket func(step string) string
+
+	mu       sync.Mutex
+	born     time.Time
+	lease    int64
+	fence    int64
+	active   map[string]*run
+	newest   map[string]int64
+	ended    []any
+	number   int64
+	starts   map[string]int // by task
+	rejected int
+	grown    chan struct{}
+	mux      *http.ServeMux
 }
 
 type run struct {
@@ -63,6 +67,13 @@
 	return out
 }
 
+// Rejected returns how many starts were rejected for want of a ticket.
+func (s *Server) Rejected() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rejected
+}
+
 func (s *Server) clock() int64 { return time.Since(s.born).Milliseconds() }
 
 // ServeHTTP answers a call, if it is meant for this life of the server.
@@ -81,6 +92,7 @@
 	Fence    int64  `json:"fencing_token"`
 	Taken    int64  `json:"ack_cursor"`
 	WaitMS   int64  `json:"wait_ms"`
+	Ticket   string `json:"ticket"`
 }
 
 // take reads an order and refuses one of a former dispatcher. The lock is held if it returns true.
@@ -113,6 +125,11 @@
 		return
 	}
 	defer s.mu.Unlock()
+	if s.Ticket != nil && o.Ticket != s.Ticket(o.Task[:strings.LastIndex(o.Task, ".")]) {
+		s.rejected++
+		s.answer(w, http.StatusConflict, map[string]any{"reason": "ticket"})
+		return
+	}
 	if s.newest[o.Task] >= o.Attempt {
 		s.answer(w, http.StatusConflict, map[string]any{"reason": "old"})
 		return
--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -60,7 +60,8 @@
 
 	mu       sync.Mutex
 	core     *dispatch.Core
-	renewed  time.Duration // start of the last append that succeeded
+	config   *jobs.Configuration // that the core has
+	renewed  time.Duration       // start of the last append that succeeded
 	asking   map[string]bool
 	sequence int64
 	appends  link
@@ -82,7 +83,7 @@
 		return
 	}
 	var wg sync.WaitGroup
-	for _, work := range []func(context.Context){d.followServers, d.storeBatches, d.schedule, d.keepMachines, d.reportState} {
+	for _, work := range []func(context.Context){d.followServers, d.storeBatches, d.schedule, d.askPolicies, d.keepMachines, d.reportState} {
 		wg.Go(func() { work(ctx) })
 	}
 	wg.Wait()
@@ -104,6 +105,7 @@
 		return false
 	}
 	bounds := d.node.settings.Bounds
+	d.config = config
 	d.formers = newFormers(d.place.Former, d.claimed)
 	d.core = dispatch.New(dispatch.Params{
 		Epoch: d.place.Epoch, Lease: min(leaseWanted, bounds.LeaseMost), FormerUntil: d.formers.until(d.follower), Early: bounds.Early,
@@ -178,7 +180,8 @@
 	ended := d.watchOthers()
 	d.update(func(c *dispatch.Core) {
 		c.FormerEndedBy(ended)
-		if config := d.operators.view().config; config != nil {
+		if config := d.operators.view().config; config != d.config {
+			d.config = config
 			c.SetConfiguration(config)
 		}
 		c.Schedule()
--- a/jobnode/fleet_test.go
+++ b/jobnode/fleet_test.go
@@ -37,7 +37,9 @@
 	t       *testing.T
 	store   *keyedstore.Store
 	address netip.AddrPort
-	servers []*taskserver.Server
+	// policies is the service of the queues' policies, if there is one.
+	policies netip.AddrPort
+	servers  []*taskserver.Server
 }
 
 func newFleet(t *testing.T, servers int) *fleet {
@@ -88,7 +90,7 @@
 
 func (f *fleet) node(name string) *testNode {
 	s := DefaultSettings()
-	s.Name, s.DataCentre, s.StoreAddress = name, "z", f.address
+	s.Name, s.DataCentre, s.StoreAddress, s.PolicyAddress = name, "z", f.address, f.policies
 	s.CallerAddress, s.ReadyAddress = netip.MustParseAddrPort("127.0.0.1:0"), netip.MustParseAddrPort("127.0.0.1:0")
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &testNode{stop: cancel, done: make(chan error, 1)}
--- a/jobnode/machines.go
+++ b/jobnode/machines.go
@@ -38,6 +38,9 @@
 	// unknownAfter is how long after a machine came up, or after a takeover, a server may be unknown: entries are written each 1.5 s and read
 	// within 0.3 s.
 	unknownAfter = 2500 * time.Millisecond
+	// firstDemandWithin is how long a new dispatcher that has seen no demand leaves the pools as they are: callers come about 10 s after a fleet
+	// has started.
+	firstDemandWithin = 15 * time.Second
 	// orderRepeat is the pause before an order without an answer is repeated.
 	orderRepeat = 700 * time.Millisecond
 )
@@ -209,8 +212,17 @@
 	return orders
 }
 
+// waitsForDemand reports whether this dispatcher is new and has seen no demand yet. Pools then stay as operators laid them out, so that the
+// first turn finds more than the least machines.
+func (k *keeper) waitsForDemand() bool {
+	k.follower.mu.Lock()
+	defer k.follower.mu.Unlock()
+	return k.follower.history.Empty() && boottime.Now()-k.acquired < firstDemandWithin
+}
+
 // planMoves returns the moves to order now.
 func (k *keeper) planMoves(c *dispatch.Core, machines []jobs.Machine, servers map[string]string, most int) []pooling.Move {
+	k.pools.Parking(!k.waitsForDemand())
 	moves := k.pools.Plan(boottime.Now(), k.poolStates(c), k.movable(c, machines))
 	for i, m := range moves {
 		if i >= most {
--- a/jobnode/node.go
+++ b/jobnode/node.go
@@ -45,6 +45,7 @@
 	store     *platform.Store
 	servers   *platform.Servers
 	machines  *platform.Machines
+	policies  *platform.Policies
 	operators *operators
 	follower  *follower
 	writer    *writer
@@ -74,6 +75,9 @@
 	if s.MachinesAddress.IsValid() {
 		n.machines = platform.NewMachines(s.MachinesAddress.String())
 	}
+	if s.PolicyAddress.IsValid() {
+		n.policies = platform.NewPolicies(s.PolicyAddress.String())
+	}
 	callers, err := net.Listen("tcp", s.CallerAddress.String())
 	if err != nil {
 		return err
--- a/jobnode/settings.go
+++ b/jobnode/settings.go
@@ -19,6 +19,7 @@
 	ReadyAddress    netip.AddrPort `yaml:"ready_address"`    // answers whether the node takes new calls, and serves its metrics
 	StoreAddress    netip.AddrPort `yaml:"store_address"`    // the platform's store
 	MachinesAddress netip.AddrPort `yaml:"machines_address"` // the platform's list of machines; may be left out
+	PolicyAddress   netip.AddrPort `yaml:"policy_address"`   // the service that knows the queues' policies; may be left out
 	MachineOrders   float64        `yaml:"machine_orders"`   // orders for machines that the platform takes a second
 	Cores           float64        `yaml:"cores"`            // processors that this node may use; a stronger node dispatches sooner
 	LogLevel        string         `yaml:"log_level"`        // debug, info, warn or error
--- a/jobs/model.go
+++ b/jobs/model.go
@@ -125,6 +125,11 @@
 	return t.Job + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
 }
 
+// StepName returns the name of the task's step in its occurrence.
+func (t TaskID) StepName() string {
+	return t.Job + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step)
+}
+
 // ParseTaskID reads a name that String wrote.
 func ParseTaskID(s string) (TaskID, bool) {
 	parts := strings.Split(s, ".")
@@ -149,6 +154,27 @@
 	SlackFactor                 float64
 	TargetMS                    int64
 	Public                      bool
+	// Policy, if set, says that starts need a ticket: the queue's policy allows only some servers to run a step.
+	Policy *Policy
+}
+
+// Policy is how long the service that knows a queue's policy takes for an answer, and how long its tickets are valid.
+type Policy struct {
+	Decision, PerServer, Valid time.Duration
+}
+
+// Question asks which of some servers may run a step.
+type Question struct {
+	Job        string
+	Occurrence int
+	Step       int
+	Servers    []string
+}
+
+// Verdict is the answer to a question: a ticket for each server that may run the step.
+type Verdict struct {
+	Tickets map[string]string
+	Valid   time.Duration
 }
 
 // Service is a pool of backend servers.
@@ -258,7 +284,7 @@
 	StartUnhealthy // the server has done nothing
 	StartGone      // another life of the server answers
 	StartInvalid
-	StartNoTicket // the queue's policy asks for a ticket, which this program doesn't fetch
+	StartNoTicket // the ticket that the queue's policy asks for is missing or no longer valid
 )
 
 // Order is a start of one task on one server.
@@ -269,6 +295,7 @@
 	Checkpoint string
 	LeaseUntil int64 // on the server's clock, in milliseconds
 	Fence      int64
+	Ticket     string // if the queue has a policy
 }
 
 // Machine is a machine of the fleet as the platform lists it.
--- a/pooling/pooling.go
+++ b/pooling/pooling.go
@@ -88,10 +88,16 @@
 }
 
 // Planner remembers moves that haven't shown in the list of machines yet.
-type Planner struct{ flights map[string]flight }
+type Planner struct {
+	flights map[string]flight
+	parking bool
+}
 
 // New returns a planner.
-func New() *Planner { return &Planner{map[string]flight{}} }
+func New() *Planner { return &Planner{map[string]flight{}, true} }
+
+// Parking says whether idle machines go to the spare pool.
+func (p *Planner) Parking(on bool) { p.parking = on }
 
 // Settled forgets a move that wasn't made.
 func (p *Planner) Settled(machine string) { delete(p.flights, machine) }
@@ -248,7 +254,7 @@
 			spare = s.pool.Name
 		}
 	}
-	if spare == "" {
+	if spare == "" || !p.parking {
 		return nil
 	}
 	var moves []Move
--- a/pooling/pooling_test.go
+++ b/pooling/pooling_test.go
@@ -63,6 +63,9 @@
 	assert.Empty(t, New().Plan(0, pools(0, 0), append(fill("a", 5, parkAfter-1), fill("b", 2, 0)...)))
 	moves := New().Plan(0, pools(0, 0), append(fill("a", 5, parkAfter), fill("b", 2, 0)...))
 	assert.Equal(t, 3, count(moves, "a", "spare"))
+	p := New()
+	p.Parking(false)
+	assert.Empty(t, p.Plan(0, pools(0, 0), append(fill("a", 5, time.Hour), fill("b", 2, 0)...)), "no demand was seen yet")
 }
 
 // TestMoveIsNotDecidedTwice guards against one shortage that brings machines again and again while the first ones are on their way.
