End no server of which a new dispatcher has heard nothing

Change: MayEnd is false for a recorded server that has not answered.

The test fails without the change.

--- a/dispatch/availability.go
+++ b/dispatch/availability.go
@@ -38,6 +38,9 @@
 	if s == nil {
 		return true
 	}
+	if s.recorded && !s.swept {
+		return false // a former dispatcher may have started tasks there
+	}
 	if s.taken < s.seen {
 		return false // its ends aren't stored, so only it can tell a successor of them
 	}
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -168,3 +168,25 @@
 	assert.Equal(t, 2, w.starts)
 	assert.Empty(t, w.faults)
 }
+
+// TestUnknownServersAreNotEnded guards against an upkeep that ends a long-running task which can't be spared, because a new dispatcher has not
+// heard yet what runs on the server (AVAIL on trouble-3 of rutnat-grown, 0.7 s after a takeover).
+func TestUnknownServersAreNotEnded(t *testing.T) {
+	w := newWorld(28, 2)
+	w.submit(oldJob, lasting())
+	w.run(time.Second)
+	w.takeOver()
+	for id, s := range w.servers {
+		assert.False(t, w.core.MayEnd(id), "nothing was heard of %s", id)
+		s.cut = true
+	}
+	w.run(time.Second)
+	for id, s := range w.servers {
+		assert.False(t, w.core.MayEnd(id), "%s doesn't answer", id)
+		s.cut = false
+	}
+	w.run(time.Second)
+	for id := range w.servers {
+		assert.True(t, w.core.MayEnd(id), "its one task may be away")
+	}
+}
