Let machines with long-running tasks go first in a wave, and look sooner whether they are at work again

Change: machines with long-running tasks are emptied and ordered first; a server is looked at every 0.25 s until its new long-running task is at work; the list is read every 0.05 s while an order hasn't shown in it.

--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -35,7 +35,7 @@
 	}
 	ticket, _ := c.ticketFor(t.step, s) // choose has found that there is one, if there must be
 	c.orders = append(c.orders, Order{Server: s.info, Start: &jobs.Order{
-		Ticket: ticket, Task: t.id, Attempt: r.attempt, Text: j.sub.Spec.Text, Checkpoint: t.checkpoint, LeaseUntil: c.lease(s), Fence: c.params.Epoch,
+		LongRunning: t.step.spec.LongRunning, Ticket: ticket, Task: t.id, Attempt: r.attempt, Text: j.sub.Spec.Text, Checkpoint: t.checkpoint, LeaseUntil: c.lease(s), Fence: c.params.Epoch,
 	}})
 }
 
--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -31,6 +31,8 @@
 	renewIdle = 2000 * time.Millisecond
 	// renewRising is the wait on a server with a long-running task that isn't at work yet: the next machine of a wave waits for it.
 	renewRising = 250 * time.Millisecond
+	// startLooks bounds the looks at a server on which a long-running task has started.
+	startLooks = 6
 	// renewPause is the least time between two renewals of a server; ends that come meanwhile are reported together.
 	renewPause = 40 * time.Millisecond
 	// renewRetry is the pause after a renewal without an answer.
@@ -227,6 +229,9 @@
 			d.deposed(o.Server.ID)
 		}
 		d.update(func(c *dispatch.Core) { c.StartAnswered(o.Server.ID, o.Start.Task.String(), o.Start.Attempt, result) })
+		if result == jobs.Started && o.Start.LongRunning {
+			go d.watchStart(o.Server.ID)
+		}
 		if result != jobs.Started {
 			events.Log(d.log, events.StartRefused, o.Start.Task.String(), o.Server.ID, int(result))
 			d.wakeUp()
@@ -241,6 +246,22 @@
 	}
 }
 
+// watchStart looks at a server on which a long-running task has started until it is at work, since a renewal that is on its way shows it only
+// a second later, and the next task of its step can't be spared before.
+func (d *dispatcher) watchStart(server string) {
+	for range startLooks {
+		sleep(context.Background(), renewRising)
+		d.mu.Lock()
+		r, ok := d.core.NextRenewal(server)
+		d.mu.Unlock()
+		if !ok || !r.Rising || !d.mayOrder() {
+			return
+		}
+		r.LeaseUntil = 0
+		d.renew(context.Background(), server, r)
+	}
+}
+
 // notSent returns a task whose start was decided but not sent.
 func (d *dispatcher) notSent(o dispatch.Order) {
 	if o.Start != nil {
--- a/jobnode/machines.go
+++ b/jobnode/machines.go
@@ -22,6 +22,8 @@
 const (
 	// machinesPause is the pause between two looks at the machines. Each look at the list has a price; demand turns within a second.
 	machinesPause = 200 * time.Millisecond
+	// endingPause is the pause while the list hasn't shown yet that an accepted order has taken effect.
+	endingPause = 50 * time.Millisecond
 	// leastMachines is the least number of machines of a pool, so that the first tasks of a turn start before machines can come.
 	leastMachines = 3
 	// turnMargin is added to the least time between the orders of two holders for one machine.
@@ -75,7 +77,11 @@
 		k.planner.Ask(d.operators.allWaves(), k.storedWave)
 		k.round(ctx)
 		k.report(ctx)
-		sleep(ctx, machinesPause)
+		pause := machinesPause
+		if len(k.ending) > 0 {
+			pause = endingPause // tasks that ended with an order start again once the list shows it
+		}
+		sleep(ctx, pause)
 	}
 }
 
--- a/jobs/model.go
+++ b/jobs/model.go
@@ -296,6 +296,8 @@
 	LeaseUntil int64 // on the server's clock, in milliseconds
 	Fence      int64
 	Ticket     string // if the queue has a policy
+	// LongRunning says that others of the task's step may have to wait until it is at work.
+	LongRunning bool
 }
 
 // Machine is a machine of the fleet as the platform lists it.
--- a/upkeep/upkeep.go
+++ b/upkeep/upkeep.go
@@ -22,6 +22,8 @@
 type Fleet interface {
 	// Load returns how many runs a server has, without those that must be at work at all times.
 	Load(server string) int
+	// LongRunning returns how many runs a server has that must be at work at all times.
+	LongRunning(server string) int
 	// MayEnd reports whether all runs of a server may end now without too many of a step being away.
 	MayEnd(server string) bool
 	// Evacuate begins to move tasks away of which too many of one step run on a server.
@@ -187,11 +189,8 @@
 	if w.down(machines) >= max(w.asked.MaxAtOnce, 1) {
 		return nil
 	}
-	for _, id := range w.asked.Machines {
+	for _, id := range w.emptied(machines, fleet) {
 		f := w.flights[id]
-		if f == nil || f.ordered {
-			continue
-		}
 		server := machines[id].Server
 		fleet.Evacuate(server)
 		if fleet.Load(server) > 0 && now-f.cordonedAt < emptyWithin || !fleet.MayEnd(server) {
@@ -203,6 +202,20 @@
 	return nil
 }
 
+// emptied returns the machines that are being emptied, those with long-running tasks first.
+func (w *wave) emptied(machines map[string]jobs.Machine, fleet Fleet) []string {
+	var ids []string
+	for id, f := range w.flights {
+		if !f.ordered {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b string) int {
+		return cmp.Or(cmp.Compare(fleet.LongRunning(machines[b].Server), fleet.LongRunning(machines[a].Server)), cmp.Compare(a, b))
+	})
+	return ids
+}
+
 // emptying returns how many machines of each pool may be emptied in addition.
 func (w *wave) emptying(now time.Duration, machines map[string]jobs.Machine) map[string]int {
 	share := emptyShare
@@ -224,7 +237,8 @@
 	return size
 }
 
-// cordon begins to empty machines, the least busy of each pool first.
+// cordon begins to empty machines: the least busy of each pool first, and of these the ones with long-running tasks, since their budgets let only
+// a few of them go at a time and the wave ends with the last of them.
 func (w *wave) cordon(now time.Duration, machines map[string]jobs.Machine, fleet Fleet) []Action {
 	left := w.emptying(now, machines)
 	var waiting []jobs.Machine
@@ -234,7 +248,8 @@
 		}
 	}
 	slices.SortFunc(waiting, func(a, b jobs.Machine) int {
-		return cmp.Or(cmp.Compare(fleet.Load(a.Server), fleet.Load(b.Server)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(fleet.Load(a.Server), fleet.Load(b.Server)),
+			cmp.Compare(fleet.LongRunning(b.Server), fleet.LongRunning(a.Server)), cmp.Compare(a.ID, b.ID))
 	})
 	var actions []Action
 	for _, m := range waiting {
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -15,14 +15,16 @@
 // fakeFleet is a fleet whose servers are busy, or can't be spared.
 type fakeFleet struct {
 	load  map[string]int
+	lasts map[string]int
 	keep  map[string]bool
 	moved []string
 }
 
-func (f *fakeFleet) Load(server string) int    { return f.load[server] }
-func (f *fakeFleet) MayEnd(server string) bool { return !f.keep[server] }
-func (f *fakeFleet) Evacuate(server string)    { f.moved = append(f.moved, server) }
-func none(int64) []string                      { return nil }
+func (f *fakeFleet) Load(server string) int        { return f.load[server] }
+func (f *fakeFleet) LongRunning(server string) int { return f.lasts[server] }
+func (f *fakeFleet) MayEnd(server string) bool     { return !f.keep[server] }
+func (f *fakeFleet) Evacuate(server string)        { f.moved = append(f.moved, server) }
+func none(int64) []string                          { return nil }
 func names(n int) (ids []string) {
 	for i := range n {
 		ids = append(ids, fmt.Sprintf("m%d", i))
@@ -120,6 +122,38 @@
 	assert.Equal(t, []string{"m0"}, orders(p, time.Minute, list, f))
 }
 
+// TestMachinesWithLongRunningTasksComeFirst guards against a wave whose last machines wait for one another: a few at a time may lose a
+// long-running task, so these must not all be left for the end (27 s to 33 s of scale-1 of pandigital-cr-grown).
+func TestMachinesWithLongRunningTasksComeFirst(t *testing.T) {
+	p := New(2 * time.Second)
+	p.Ask(ask(9, 1), none)
+	f := &fakeFleet{lasts: map[string]int{"s-m7": 1}}
+	assert.Equal(t, []string{"m7"}, orders(p, 0, machines(9), f)[:1])
+}
+
+// TestSeveralMachinesOfAPoolAreEmptiedAtOnce guards against a wave that is late because it empties one machine of a pool at a time: 90 of 179
+// machines were left on trouble-3 of rutnat-grown.
+func TestSeveralMachinesOfAPoolAreEmptiedAtOnce(t *testing.T) {
+	list, f := machines(3*2*emptyShare), &fakeFleet{load: map[string]int{}}
+	for _, m := range list {
+		f.load[m.Server] = 1
+	}
+	cordoned := func(now time.Duration) int {
+		p := New(2 * time.Second)
+		p.Ask(ask(len(list), len(list)), none)
+		p.Next(1, nil, f)
+		n := 0
+		for _, a := range p.Next(now, list, f) {
+			if a.Cordon {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Equal(t, 3*2, cordoned(time.Second))
+	assert.Equal(t, 3*(2*emptyShare/hurryShare), cordoned(19*time.Second), "the wave's time is nearly over")
+}
+
 // TestOrdersWithoutAnAnswerAreRepeated guards against a machine that counts as down for ever.
 func TestOrdersWithoutAnAnswerAreRepeated(t *testing.T) {
 	p := New(2 * time.Second)
