Park machines after those that are needed have moved

Change: two machines are parked in a round while a pool has less than it wants, twelve otherwise, and none in the first 4 s of demand; the time of day in the record of an order counts again where it says more than the time at which it was read.

--- a/forecast/forecast.go
+++ b/forecast/forecast.go
@@ -275,5 +275,8 @@
 	return median, 2*near >= len(lengths)
 }
 
+// Age returns how long ago the first job came, in milliseconds, as far back as the history goes.
+func (h *History) Age(nowMS int64) int64 { return nowMS - h.first*binMS }
+
 // Empty reports whether no job has come yet.
 func (h *History) Empty() bool { return len(h.bins) == 0 }
--- a/jobnode/machines.go
+++ b/jobnode/machines.go
@@ -42,6 +42,11 @@
 	// firstDemandWithin is how long a new dispatcher that has seen no demand leaves the pools as they are: callers come about 10 s after a fleet
 	// has started.
 	firstDemandWithin = 15 * time.Second
+	// firstDemandLasts is how long after the first demand the pools are not parked: machines then go straight to where they are needed, and the
+	// platform's rate of orders isn't used up by parking.
+	firstDemandLasts = 4 * time.Second
+	// clockDifference bounds the difference between the times of day of two machines.
+	clockDifference = 2500 * time.Millisecond
 	// orderRepeat is the pause before an order without an answer is repeated.
 	orderRepeat = 700 * time.Millisecond
 )
@@ -107,7 +112,11 @@
 		return true
 	}
 	o, ordered := k.lastOrder(machine)
-	return !ordered || o.Epoch == k.place.Epoch || boottime.Now()-k.follower.orderSeen(machine) > turn
+	if !ordered || o.Epoch == k.place.Epoch || boottime.Now()-k.follower.orderSeen(machine) > turn {
+		return true
+	}
+	// A node that has started lately has read all orders lately; the time of day in the record tells of the older ones.
+	return time.Duration(time.Now().UnixMilli()-o.AtMS)*time.Millisecond > turn+clockDifference
 }
 
 func (k *keeper) lastOrder(machine string) (ledger.MachineOrder, bool) {
@@ -219,7 +228,10 @@
 func (k *keeper) waitsForDemand() bool {
 	k.follower.mu.Lock()
 	defer k.follower.mu.Unlock()
-	return k.follower.history.Empty() && boottime.Now()-k.acquired < firstDemandWithin
+	if k.follower.history.Empty() {
+		return boottime.Now()-k.acquired < firstDemandWithin
+	}
+	return k.follower.history.Age(time.Now().UnixMilli()) < firstDemandLasts.Milliseconds()
 }
 
 // planMoves returns the moves to order now.
--- a/pooling/pooling.go
+++ b/pooling/pooling.go
@@ -15,6 +15,10 @@
 const (
 	// parkAfter is how long a machine must be idle before it is parked. A move costs as much as about 1.1 s of a machine in a pool.
 	parkAfter = 1200 * time.Millisecond
+	// parkMost is the most machines that are parked in one round, and parkWhileNeedy the most while a pool has less than it wants: machines that
+	// are needed go before machines that aren't, and the platform takes a bounded number of orders.
+	parkMost       = 12
+	parkWhileNeedy = 2
 	// headroom is the share by which a pool's machines exceed what its tasks need, because tasks don't fill machines exactly.
 	headroom = 1.12
 	// ComesWithin is how long a move takes until the first task can start: 1.5 s of the machine, then its server's entry, the first report
@@ -257,13 +261,19 @@
 	if spare == "" || !p.parking {
 		return nil
 	}
+	most := parkMost
+	for _, s := range states {
+		if s.have < s.want {
+			most = parkWhileNeedy
+		}
+	}
 	var moves []Move
 	for _, s := range states {
 		if s.pool.Spare {
 			continue
 		}
 		for _, m := range s.idle {
-			if s.have > s.want && m.Idle >= parkAfter {
+			if s.have > s.want && m.Idle >= parkAfter && len(moves) < most {
 				moves = append(moves, p.move(now, m, spare))
 				s.have--
 			}
--- a/pooling/pooling_test.go
+++ b/pooling/pooling_test.go
@@ -212,3 +212,17 @@
 		assert.Equal(t, "a", m.To)
 	}
 }
+
+// TestParkingLeavesOrdersForNeedyPools guards against a turn whose machines come late because the platform's orders are used up by parking: 158
+// machines were parked in the first two seconds of trouble-3 of rutnat-grown, and the first one moved to the pool in demand in the third.
+func TestParkingLeavesOrdersForNeedyPools(t *testing.T) {
+	machines := append(fill("a", 40, time.Hour), fill("b", 2, 0)...)
+	assert.Len(t, New().Plan(0, pools(0, 0), machines), parkMost)
+	for i := range machines {
+		machines[i].Empty = machines[i].Pool == "a" && i >= 30
+	}
+	moves := New().Plan(0, pools(0, 100*64000), machines)
+	assert.Equal(t, 10, count(moves, "a", "b"))
+	moves = New().Plan(0, []Pool{{Name: "a"}, {Name: "b", Least: 100}, {Name: "spare", Spare: true}}, append(fill("a", 3, 0), fill("spare", 0, 0)...))
+	assert.LessOrEqual(t, count(moves, "a", "spare"), parkWhileNeedy)
+}
