Let nodes that are stopping come last among those that claim

Change: a node that is asked to stop stores so; steps between claims are 0.1 s, as long as a claim takes to show.

--- a/election/election.go
+++ b/election/election.go
@@ -23,9 +23,9 @@
 	promptAnswer = 40 * time.Millisecond
 	// Step is by how much later each next node claims, so that not all claim at the same time. A claim shows to the others after an append
 	// and the pause between two reads of the ledger.
-	Step = 150 * time.Millisecond
+	Step = 100 * time.Millisecond
 	// stepsMost bounds the steps, so that a place isn't vacant for long when the first nodes are cut off together.
-	stepsMost = 25
+	stepsMost = 40
 	// strong and middling are shares of the strongest node's processors that put a node into the first and into the second class.
 	strong   = 0.75
 	middling = 0.5
@@ -59,10 +59,10 @@
 
 // Rank returns how many nodes claim before a node: stronger ones first, then by turns of the data centres, so that a cut one costs one step,
 // and the last started first, because a roll of all nodes comes to those last. The node of the last dispatcher, which is silent, has ended or
-// has given its place up, comes last.
+// has given its place up, comes last, as do nodes that are stopping.
 func Rank(nodes map[string]ledger.Node, name string, last ledger.Dispatcher) int {
 	all := order(nodes)
-	all = slices.DeleteFunc(all, func(r ranked) bool { return r.name == last.Node })
+	all = slices.DeleteFunc(all, func(r ranked) bool { return r.name == last.Node || r.node.Stopping })
 	i := slices.IndexFunc(all, func(r ranked) bool { return r.name == name })
 	if i < 0 {
 		return len(all)
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -65,6 +65,9 @@
 	nodes["n00"] = rolled
 	assert.Equal(t, 0, Rank(nodes, "n00", ledger.Dispatcher{}))
 	assert.Equal(t, 8, Rank(nodes, "n00", ledger.Dispatcher{Node: "n00"}), "it has just given the place up")
+	rolled.Stopping = true
+	nodes["n00"] = rolled
+	assert.Equal(t, 8, Rank(nodes, "n00", ledger.Dispatcher{}), "it is stopping")
 }
 
 // TestASlowStoreIsNoSilence guards against a place that changes because renewals wait in the store's queue: a day with answers of 0.24 s
--- a/jobnode/node.go
+++ b/jobnode/node.go
@@ -71,7 +71,7 @@
 		operators: newOperators(store, s.Bounds.RevokeWithin, log), follower: newFollower(store, log), writer: newWriter(store, log),
 		metrics: newMetrics(),
 	}
-	n.presence = newPresence(s, n.life, n.follower, store)
+	n.presence = newPresence(s, n.life, n.follower, store, log)
 	if s.MachinesAddress.IsValid() {
 		n.machines = platform.NewMachines(s.MachinesAddress.String())
 	}
@@ -140,6 +140,7 @@
 	context.AfterFunc(ctx, func() {
 		n.stopping.Store(true)
 		events.Log(n.log, events.Draining, 0)
+		go n.presence.stopping()
 		time.AfterFunc(stopDelay, stop)
 	})
 	return serve
--- a/jobnode/presence.go
+++ b/jobnode/presence.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"example.org/comfreyrouter/events"
 	"example.org/comfreyrouter/ledger"
 	"example.org/comfreyrouter/platform"
 )
@@ -24,6 +27,7 @@
 	name     string
 	follower *follower
 	put      func(ctx context.Context, r ledger.Record) error
+	log      zerolog.Logger
 
 	mu      sync.Mutex
 	own     ledger.Node
@@ -31,13 +35,13 @@
 }
 
 // newPresence returns the presence of a process. It appends by itself, so that calls don't wait for it.
-func newPresence(s Settings, life string, f *follower, store *platform.Store) *presence {
+func newPresence(s Settings, life string, f *follower, store *platform.Store, log zerolog.Logger) *presence {
 	put := func(ctx context.Context, r ledger.Record) error {
 		_, err := store.Append(ctx, platform.TopicJobs, []platform.Record{{Key: r.Key, Value: r.Value}}, nil)
 		return err
 	}
 	return &presence{
-		name: s.Name, follower: f, put: put, own: ledger.Node{Cores: s.Cores, DataCentre: s.DataCentre, Life: life}, changed: true,
+		name: s.Name, follower: f, put: put, log: log, own: ledger.Node{Cores: s.Cores, DataCentre: s.DataCentre, Life: life}, changed: true,
 	}
 }
 
@@ -57,6 +61,23 @@
 	p.changed = p.changed || p.own != before
 }
 
+// stopping stores that this process has been asked to stop, so that others don't wait for its claim.
+func (p *presence) stopping() {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	p.mu.Lock()
+	p.own.Stopping = true
+	r := ledger.NodeRecord(p.name, p.own)
+	started := p.own.Start > 0
+	p.mu.Unlock()
+	if !started {
+		return // nobody knows of this process
+	}
+	if err := p.put(ctx, r); err != nil {
+		events.Log(p.log, events.DependencyLost, "record of this node", err)
+	}
+}
+
 // Run stores the record at the start, when it changes, and from time to time.
 func (p *presence) Run(ctx context.Context) error {
 	var last time.Time
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -92,6 +92,7 @@
 	Life       string  `json:"l,omitempty"`
 	Start      int64   `json:"s,omitempty"` // rises with each start of the node's process
 	Ended      int64   `json:"e,omitempty"` // newest epoch in which this process gives no more orders
+	Stopping   bool    `json:"x,omitempty"` // this process has been asked to stop
 	Bid        int64   `json:"b,omitempty"` // epoch of a weaker dispatcher that it asks to give its place up
 	AtMS       int64   `json:"t,omitempty"` // Unix time
 	Offset     int64   `json:"-"`           // of the first record of this start
@@ -368,6 +369,7 @@
 	if there && n.Life == old.Life {
 		n.Offset = old.Offset
 		n.Ended, n.Bid, n.AtMS = max(n.Ended, old.Ended), max(n.Bid, old.Bid), max(n.AtMS, old.AtMS)
+		n.Stopping = n.Stopping || old.Stopping
 	} else if there && n.Start < old.Start {
 		return Nothing, nil
 	}
