Forward a request once more when the connection to its issuer failed

Change: one more try over a new connection with the time that is left. The issuer runs an id at most once, so nothing is doubled; a peer that is cut off is still given up at once after the second failure.

TestLostConnectionToTheIssuerIsTriedAgain failed before.

--- a/entry/engine_test.go
+++ b/entry/engine_test.go
@@ -137,6 +137,21 @@
 	})
 }
 
+// TestLostConnectionToTheIssuerIsTriedAgain guards against a caller that is told that the outcome is unknown because the connection to the
+// issuer was closed, as a heartbeat that gets no answer in time does: the issuer holds the outcome, and the order runs once.
+func TestLostConnectionToTheIssuerIsTriedAgain(t *testing.T) {
+	withNodes(t, 4, func(t *testing.T, a, b *node) {
+		ids, err := a.IssueIDs(t.Context(), testKey, "quotes", 1)
+		require.NoError(t, err)
+		req := order(ids[0])
+		req.ID = ids[0]
+		b.loseForward.Store(true)
+		expect(t, b.Handle(t.Context(), req), "", errkind.Done)
+		require.False(t, b.loseForward.Load())
+		require.Equal(t, 1, a.backend.count(ids[0]))
+	})
+}
+
 // TestIssuerCutOff guards that only the issuer runs an issued id, also without the log, and that others answer unknown if they
 // cannot reach it.
 func TestIssuerCutOff(t *testing.T) {
--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,6 +32,7 @@
 
 // node is one engine with its store and its way to the log and to its peers.
 type node struct {
+	loseForward atomic.Bool // the answer to the next forwarded request is lost
 	*Engine
 	log     *fakeLog
 	backend *fakeBackend
@@ -191,7 +193,11 @@
 	if err != nil {
 		return peer.ResultReply{}, err
 	}
-	return o.HandleForward(ctx, args), nil
+	reply := o.HandleForward(ctx, args)
+	if n.loseForward.CompareAndSwap(true, false) {
+		return peer.ResultReply{}, errkind.New(errkind.IssuerUnreachable, "the connection was closed")
+	}
+	return reply, nil
 }
 
 func (n *node) Result(_ context.Context, address string, args peer.ResultArgs) (peer.ResultReply, error) {
--- a/entry/once.go
+++ b/entry/once.go
@@ -165,7 +165,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	reply, err := e.options.Peers.Forward(ctx, address, args)
+	reply, err := e.forward(ctx, address, args)
 	switch {
 	case err != nil:
 		return withheld(failed(errkind.IssuerUnreachable, "forwarding to the issuer failed: %v", err), refusal)
@@ -175,6 +175,21 @@
 	return withheld(fromReply(reply), refusal)
 }
 
+// forwardAgainAfter is the pause before a request is forwarded once more: a new connection to a peer takes some milliseconds.
+const forwardAgainAfter = 100 * time.Millisecond
+
+// forward hands a call to its issuer, and once more if the connection failed: a heartbeat that gets no answer in time closes the connection for
+// all calls on it. The issuer runs an id at most once and answers the second call with the outcome of the first.
+func (e *Engine) forward(ctx context.Context, address string, args peer.ForwardArgs) (peer.ResultReply, error) {
+	began := time.Now()
+	reply, err := e.options.Peers.Forward(ctx, address, args)
+	if err == nil || errkind.Of(err) != errkind.IssuerUnreachable || !sleep(ctx, forwardAgainAfter) {
+		return reply, err
+	}
+	args.TimeLeft = max(0, args.TimeLeft-time.Since(began))
+	return e.options.Peers.Forward(ctx, address, args)
+}
+
 // leftIssuer returns what an issuer that left recorded of an id.
 func (e *Engine) leftIssuer(id claims.IssuedID) (outcome errkind.Outcome, ok bool) {
 	e.options.Store.View(func(s *fleet.State) {
