--- a/forecast/forecast.go
+++ b/forecast/forecast.go
@@ -20,6 +20,8 @@
 	keptBins = 360
 	// standsOut is by how much the work of one service must exceed that of each other one for the service to have the turn.
 	standsOut = 2.0
+	// lullShare is the part of the largest rate seen below which no service has the turn.
+	lullShare = 6
 	// firmBins is for how many bins in a row a service must stand out before its turn counts.
 	firmBins = 2
 	// regular is by which share the length of turns may differ from their median to count as regular.
@@ -97,7 +99,6 @@
 type turn struct {
 	service string
 	start   int64 // bin
-	peak    jobs.Resources
 	opening jobs.Resources // openingBins after the start
 }
 
@@ -142,19 +143,13 @@
 		if run == firmBins && (len(all) == 0 || all[len(all)-1].service != service) {
 			all = append(all, turn{service: service, start: k - firmBins + 1})
 		}
-		if n := len(all); n > 0 && all[n-1].service == service {
-			all[n-1].peak = larger(all[n-1].peak, rates[service])
-			if k <= all[n-1].start+openingBins {
-				all[n-1].opening = larger(all[n-1].opening, rates[service])
-			}
+		if n := len(all); n > 0 && all[n-1].service == service && k <= all[n-1].start+openingBins {
+			all[n-1].opening = larger(all[n-1].opening, rates[service])
 		}
 	}
 	return all
 }
 
-// lullShare is the part of the largest rate seen below which no service has the turn.
-const lullShare = 6
-
 func larger(a, b jobs.Resources) jobs.Resources {
 	return jobs.Resources{CPU: max(a.CPU, b.CPU), MemoryMB: max(a.MemoryMB, b.MemoryMB), GPU: max(a.GPU, b.GPU)}
 }
--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -31,8 +31,6 @@
 	renewIdle = 2000 * time.Millisecond
 	// renewRising is the wait on a server with a long-running task that isn't at work yet: the next machine of a wave waits for it.
 	renewRising = 250 * time.Millisecond
-	// startLooks bounds the looks at a server on which a long-running task has started.
-	startLooks = 6
 	// renewPause is the least time between two renewals of a server; ends that come meanwhile are reported together.
 	renewPause = 40 * time.Millisecond
 	// renewRetry is the pause after a renewal without an answer.
@@ -209,68 +207,6 @@
 	})
 }
 
-// send carries out orders, each on its own: servers answer in any order.
-func (d *dispatcher) send(orders []dispatch.Order) {
-	for _, o := range orders {
-		go d.sendOne(o)
-	}
-}
-
-func (d *dispatcher) sendOne(o dispatch.Order) {
-	ctx := context.Background()
-	if !d.mayOrder() {
-		d.notSent(o)
-		return
-	}
-	switch {
-	case o.Start != nil:
-		result := d.servers.Start(ctx, o.Server, *o.Start)
-		if result == jobs.StartFenced {
-			d.deposed(o.Server.ID)
-		}
-		d.update(func(c *dispatch.Core) { c.StartAnswered(o.Server.ID, o.Start.Task.String(), o.Start.Attempt, result) })
-		if result == jobs.Started && o.Start.LongRunning {
-			go d.watchStart(o.Server.ID)
-		}
-		if result != jobs.Started {
-			events.Log(d.log, events.StartRefused, o.Start.Task.String(), o.Server.ID, int(result))
-			d.wakeUp()
-		}
-	case o.Stop != nil:
-		ok := d.servers.Stop(ctx, o.Server, o.Stop.Task, o.Stop.Attempt, d.place.Epoch)
-		d.update(func(c *dispatch.Core) { c.StopAnswered(o.Server.ID, o.Stop.Task, o.Stop.Attempt, ok) })
-	case o.Pace != nil:
-		if !d.servers.Pace(ctx, o.Server, o.Pace.Task, o.Pace.Attempt, d.place.Epoch, o.Pace.Percent) {
-			d.update(func(c *dispatch.Core) { c.PaceUnanswered(o.Server.ID, o.Pace.Task, o.Pace.Attempt) })
-		}
-	}
-}
-
-// watchStart looks at a server on which a long-running task has started until it is at work, since a renewal that is on its way shows it only
-// a second later, and the next task of its step can't be spared before.
-func (d *dispatcher) watchStart(server string) {
-	for range startLooks {
-		sleep(context.Background(), renewRising)
-		d.mu.Lock()
-		r, ok := d.core.NextRenewal(server)
-		d.mu.Unlock()
-		if !ok || !r.Rising || !d.mayOrder() {
-			return
-		}
-		r.LeaseUntil = 0
-		d.renew(context.Background(), server, r)
-	}
-}
-
-// notSent returns a task whose start was decided but not sent.
-func (d *dispatcher) notSent(o dispatch.Order) {
-	if o.Start != nil {
-		d.update(func(c *dispatch.Core) {
-			c.StartAnswered(o.Server.ID, o.Start.Task.String(), o.Start.Attempt, jobs.StartUnhealthy)
-		})
-	}
-}
-
 // askServers begins to ask servers that aren't asked yet.
 func (d *dispatcher) askServers(ctx context.Context) {
 	d.mu.Lock()
@@ -382,101 +318,6 @@
 	return page.Records, page.Next, nil
 }
 
-// storeBatches stores what was decided, in order, and renews the place.
-func (d *dispatcher) storeBatches(ctx context.Context) {
-	var last time.Duration
-	for ctx.Err() == nil {
-		d.mu.Lock()
-		batch := d.core.TakeBatch()
-		d.mu.Unlock()
-		due := boottime.Now()-last >= renewEvery
-		if len(batch.Records) == 0 && !due {
-			d.stored(batch)
-			sleep(ctx, storePause)
-			continue
-		}
-		if due {
-			batch.Records = append(batch.Records, ledger.DispatcherRecord(d.present()))
-			last = boottime.Now()
-		}
-		if !d.append(ctx, batch.Records) {
-			return
-		}
-		d.stored(batch)
-		sleep(ctx, storePause)
-	}
-}
-
-func (d *dispatcher) stored(b dispatch.Batch) {
-	d.mu.Lock()
-	startable := d.core.Stored(b)
-	d.mu.Unlock()
-	if startable {
-		d.wakeUp()
-	}
-}
-
-// append stores records with the next sequence number, and tries again until the store has answered.
-func (d *dispatcher) append(ctx context.Context, records []ledger.Record) bool {
-	out := make([]platform.Record, len(records))
-	for i, r := range records {
-		out[i] = platform.Record{Key: r.Key, Value: r.Value}
-	}
-	d.sequence++
-	for ctx.Err() == nil {
-		sent := boottime.Now()
-		_, err := d.store.Append(ctx, platform.TopicJobs, out, &platform.Producer{Name: producerName, Epoch: d.place.Epoch, Sequence: d.sequence})
-		switch {
-		case err == nil:
-			d.appends.report(nil)
-			d.mu.Lock()
-			d.renewed = sent
-			d.mu.Unlock()
-			return true
-		case errors.Is(err, platform.ErrFenced), errors.Is(err, platform.ErrSequence):
-			events.Log(d.log, events.DispatcherFenced, d.place.Epoch, errText(err))
-			d.fenced.Store(true)
-			d.cancel()
-			return false
-		}
-		d.appends.report(err)
-		sleep(ctx, writeRetry)
-	}
-	return false
-}
-
-// release stores what was decided last and gives the place up, so that another node can take it at once.
-func (d *dispatcher) release() {
-	if d.fenced.Load() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	d.mu.Lock()
-	batch := d.core.TakeBatch()
-	d.mu.Unlock()
-	place := d.present()
-	place.Released = true
-	d.append(ctx, append(batch.Records, ledger.DispatcherRecord(place)))
-}
-
-// forgetBatch bounds the jobs that are forgotten at once, so that a long ledger doesn't make one large append.
-const forgetBatch = 200
-
-// forgetOld drops jobs that ended so long ago that nobody asks for them, and nodes that have left the fleet.
-func (d *dispatcher) forgetOld() {
-	before := time.Now().Add(-d.node.settings.Bounds.KeepFinished).UnixMilli()
-	d.follower.mu.Lock()
-	records := d.follower.ledger.Outdated(before, forgetBatch)
-	records = append(records, d.follower.ledger.Absent(time.Now().Add(-absentAfter).UnixMilli())...)
-	d.follower.mu.Unlock()
-	d.update(func(c *dispatch.Core) {
-		for _, r := range records {
-			c.Store(r)
-		}
-	})
-}
-
 // countEvents moves what the core has counted into the metrics. Answers to orders may still come while a dispatcher ends.
 func (d *dispatcher) countEvents() map[string]int {
 	d.mu.Lock()
