--- a/forecast/forecast.go
+++ b/forecast/forecast.go
@@ -98,7 +98,7 @@
 // turn is a span in which one service stood out.
 type turn struct {
 	service string
-	start   int64 // bin
+	start   int64          // bin
 	opening jobs.Resources // openingBins after the start
 }
 
