--- a/election/election.go
+++ b/election/election.go
@@ -51,10 +51,10 @@
 }
 
 type ranked struct {
-	name   string
-	node   ledger.Node
-	class  int
-	inZone int // stronger and younger nodes of its data centre
+	name         string
+	node         ledger.Node
+	class        int
+	inDataCentre int // stronger and younger nodes of its data centre
 }
 
 // Rank returns how many nodes claim before a node: stronger ones first, then by turns of the data centres, so that a cut one costs one step,
@@ -81,10 +81,12 @@
 	})
 	count := map[string]int{}
 	for i := range all {
-		all[i].inZone = count[all[i].node.DataCentre]
+		all[i].inDataCentre = count[all[i].node.DataCentre]
 		count[all[i].node.DataCentre]++
 	}
-	slices.SortStableFunc(all, func(a, b ranked) int { return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.inZone, b.inZone)) })
+	slices.SortStableFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.inDataCentre, b.inDataCentre))
+	})
 	return all
 }
 
