Let nodes carry the orders of the dispatcher

Cause: one node makes all calls to the servers.

The dispatcher goes on deciding everything. Above 100 servers the calls go through the other nodes, by net/rpc, each with its share of the servers of its data centre (weighted rendezvous hashing). An order that a relay doesn't answer counts as one that the server hasn't answered; a renewal whose relay fails is repeated directly at once.

--- a/events/events.go
+++ b/events/events.go
@@ -44,6 +44,8 @@
 	DependencyLost    = Event{7014, zerolog.WarnLevel, "something that this node depends on can't be reached", []string{"name", "error"}, "see docs/OPERATIONS.md, what a lost dependency looks like"}
 	DependencyBack    = Event{7015, zerolog.InfoLevel, "something that this node depends on is back", []string{"name"}, "nothing"}
 	EntryUnreadable   = Event{7016, zerolog.WarnLevel, "an entry of a backend server cannot be read and is not used", []string{"server"}, "find out who else writes to the list of servers"}
+	RelayFailed       = Event{7017, zerolog.WarnLevel, "a node that carries orders doesn't answer; its servers are asked by others", []string{"relay", "error"}, "nothing; if it repeats, look at that node"}
+	CallPanicked      = Event{7018, zerolog.ErrorLevel, "a call ended with an unexpected error; the process goes on", []string{"method", "error", "stack"}, "report it with the stack"}
 	UpkeepOrdered     = Event{7102, zerolog.InfoLevel, "upkeep of a machine ordered", []string{"machine", "server", "wave", "answer"}, "nothing"}
 	MoveOrdered       = Event{7103, zerolog.InfoLevel, "move of a machine ordered", []string{"machine", "server", "from", "to", "answer"}, "nothing"}
 	WaveComplete      = Event{7104, zerolog.InfoLevel, "all machines of a wave have begun their upkeep", []string{"wave"}, "nothing"}
@@ -81,7 +83,7 @@
 		DrainStarted, DrainEmpty, DrainDone, DrainGivenUp,
 		MoveStarted, MoveDone,
 		DispatcherClaimed, DispatcherStarted, DispatcherStopped, DispatcherFenced, OrderFenced, StartRefused, ServerNote, DispatchState, DispatcherYields, JobStored, CallRefused, JobEnded,
-		DependencyLost, DependencyBack, EntryUnreadable,
+		DependencyLost, DependencyBack, EntryUnreadable, RelayFailed, CallPanicked,
 		UpkeepOrdered, MoveOrdered, WaveComplete,
 	}
 }
--- a/peer/codec.go
+++ b/internal/rpccodec/codec.go
@@ -1,4 +1,5 @@
-package peer
+// Package rpccodec is the encoding of net/rpc between nodes: gob with bounded messages and write deadlines.
+package rpccodec
 
 import (
 	"bufio"
@@ -20,7 +21,7 @@
 	writeTimeout = 10 * time.Second
 )
 
-var errTooLarge = errors.New("peer: the message is too large")
+var errTooLarge = errors.New("rpccodec: the message is too large")
 
 // boundedReader fails when a message exceeds its bound. The codec resets it for each message; read-ahead of the buffer
 // above it counts for the message before.
@@ -70,16 +71,18 @@
 	}
 }
 
-func newClientCodec(conn net.Conn, timeout time.Duration) *codec {
+// NewClient returns the codec of a client. A write that takes longer than timeout ends the connection.
+func NewClient(conn net.Conn, timeout time.Duration) rpc.ClientCodec {
 	c := newCodec(conn, MaxMessageBytes)
 	c.stuck = timeout
-	return c
+	return clientCodec{c}
 }
 
-func newServerCodec(conn net.Conn, limit int64) *codec {
+// NewServer returns the codec of a server whose requests have at most limit bytes.
+func NewServer(conn net.Conn, limit int64) rpc.ServerCodec {
 	c := newCodec(conn, limit)
 	c.pending = make(chan struct{}, maxPending)
-	return c
+	return serverCodec{c}
 }
 
 func (c *codec) readHeader(header any) error {
--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -15,6 +15,7 @@
 	"example.org/comfreyrouter/jobs"
 	"example.org/comfreyrouter/ledger"
 	"example.org/comfreyrouter/platform"
+	"example.org/comfreyrouter/relay"
 )
 
 const (
@@ -50,7 +51,7 @@
 	log       zerolog.Logger
 	place     ledger.Dispatcher
 	store     *platform.Store
-	servers   *platform.Servers
+	servers   *relay.Fleet
 	follower  *follower
 	operators *operators
 	cancel    context.CancelFunc
@@ -75,15 +76,16 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	d := &dispatcher{
-		node: n, log: n.log, place: place, store: n.store, servers: n.servers, follower: n.follower, operators: n.operators, cancel: cancel,
+		node: n, log: n.log, place: place, store: n.store, servers: relay.NewFleet(n.servers, n.log), follower: n.follower, operators: n.operators, cancel: cancel,
 		acquired: boottime.Now(), claimed: claimed, renewed: claimed, asking: map[string]bool{}, sequence: 1,
 		appends: link{name: "appends of the dispatcher", log: n.log}, wake: make(chan struct{}, 1),
 	}
+	defer d.servers.Close()
 	if !d.takeOver() {
 		return
 	}
 	var wg sync.WaitGroup
-	for _, work := range []func(context.Context){d.followServers, d.storeBatches, d.schedule, d.askPolicies, d.keepMachines, d.reportState} {
+	for _, work := range []func(context.Context){d.followServers, d.chooseRelays, d.storeBatches, d.schedule, d.askPolicies, d.keepMachines, d.reportState} {
 		wg.Go(func() { work(ctx) })
 	}
 	wg.Wait()
--- a/jobnode/node.go
+++ b/jobnode/node.go
@@ -16,6 +16,7 @@
 	"example.org/comfreyrouter/internal/httpserve"
 	"example.org/comfreyrouter/kernel"
 	"example.org/comfreyrouter/platform"
+	"example.org/comfreyrouter/relay"
 )
 
 // Names of the services of a node.
@@ -26,6 +27,7 @@
 	servicePresence  = "presence"
 	serviceElector   = "elector"
 	serviceCallers   = "callers"
+	serviceRelay     = "relay"
 	serviceReady     = "ready"
 )
 
@@ -86,8 +88,14 @@
 	if err != nil {
 		return err
 	}
+	var peers net.Listener
+	if s.PeerAddress.IsValid() {
+		if peers, err = net.Listen("tcp", s.PeerAddress.String()); err != nil {
+			return err
+		}
+	}
 	serve := n.untilDrained(ctx)
-	k, err := n.kernel(serve, callers, ready)
+	k, err := n.kernel(serve, callers, ready, peers)
 	if err != nil {
 		return err
 	}
@@ -107,7 +115,7 @@
 func (r runner) Run(ctx context.Context) error { return r(ctx) }
 
 // kernel registers the node's services. On a planned stop the listeners end first, so that what they need still works.
-func (n *Node) kernel(serve context.Context, callers, ready net.Listener) (*kernel.Kernel, error) {
+func (n *Node) kernel(serve context.Context, callers, ready, peers net.Listener) (*kernel.Kernel, error) {
 	k := kernel.New()
 	elect := &elector{node: n.settings.Name, operators: n.operators, life: n.life, store: n.store, follower: n.follower, presence: n.presence, log: n.log, run: n.lead}
 	for _, s := range []struct {
@@ -122,6 +130,7 @@
 			return httpserve.Serve(serve, callers, n.handler(), max(n.settings.Bounds.Grace-stopDelay-stopMargin, time.Second))
 		}},
 		{serviceReady, nil, func(ctx context.Context) error { return httpserve.Serve(ctx, ready, n.readyHandler(), time.Second) }},
+		{serviceRelay, nil, func(ctx context.Context) error { return n.serveRelay(ctx, peers) }},
 		{servicePresence, []string{serviceFollower}, n.presence.Run},
 		{serviceElector, []string{serviceCallers, serviceReady, servicePresence}, elect.Run},
 	} {
@@ -133,6 +142,15 @@
 	return k, nil
 }
 
+// serveRelay carries out the orders of other nodes until ctx ends, if this node listens for them.
+func (n *Node) serveRelay(ctx context.Context, peers net.Listener) error {
+	if peers == nil {
+		<-ctx.Done()
+		return nil
+	}
+	return relay.Serve(ctx, peers, n.servers, n.log)
+}
+
 // untilDrained returns a context that ends some time after ctx. Meanwhile the node isn't ready but goes on taking calls, until the load
 // balancer has noticed.
 func (n *Node) untilDrained(ctx context.Context) context.Context {
--- a/jobnode/presence.go
+++ b/jobnode/presence.go
@@ -36,12 +36,16 @@
 
 // newPresence returns the presence of a process. It appends by itself, so that calls don't wait for it.
 func newPresence(s Settings, life string, f *follower, store *platform.Store, log zerolog.Logger) *presence {
+	address := ""
+	if s.PeerAddress.IsValid() {
+		address = s.PeerAddress.String()
+	}
 	put := func(ctx context.Context, r ledger.Record) error {
 		_, err := store.Append(ctx, platform.TopicJobs, []platform.Record{{Key: r.Key, Value: r.Value}}, nil)
 		return err
 	}
 	return &presence{
-		name: s.Name, follower: f, put: put, log: log, own: ledger.Node{Cores: s.Cores, DataCentre: s.DataCentre, Life: life}, changed: true,
+		name: s.Name, follower: f, put: put, log: log, own: ledger.Node{Cores: s.Cores, DataCentre: s.DataCentre, Address: address, Life: life}, changed: true,
 	}
 }
 
--- /dev/null
+++ b/jobnode/relays.go
@@ -0,0 +1,50 @@
+package jobnode
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"example.org/comfreyrouter/ledger"
+	"example.org/comfreyrouter/relay"
+)
+
+const (
+	// directServers is up to how many servers a dispatcher makes all calls itself: the smallest nodes can, and a hop less is faster.
+	directServers = 100
+	// relaysPause is the pause between two looks at which nodes may carry orders.
+	relaysPause = 500 * time.Millisecond
+)
+
+// chooseRelays says which nodes carry this dispatcher's orders, until ctx ends.
+func (d *dispatcher) chooseRelays(ctx context.Context) {
+	var last []relay.Member
+	for ; ctx.Err() == nil; sleep(ctx, relaysPause) {
+		d.mu.Lock()
+		servers := len(d.core.Servers())
+		d.mu.Unlock()
+		var members []relay.Member
+		if servers > directServers {
+			d.follower.mu.Lock()
+			members = relayMembers(d.follower.ledger.Nodes, d.node.settings.Name, time.Now().Add(-absentAfter).UnixMilli())
+			d.follower.mu.Unlock()
+		}
+		if !slices.Equal(members, last) {
+			d.servers.SetMembers(members)
+			last = members
+		}
+	}
+}
+
+// relayMembers returns the nodes that may carry orders of the node own: those that listen, aren't stopping and have said so since a time.
+func relayMembers(nodes map[string]ledger.Node, own string, sinceMS int64) []relay.Member {
+	var members []relay.Member
+	for name, n := range nodes {
+		if name != own && n.Address != "" && !n.Stopping && n.AtMS >= sinceMS {
+			members = append(members, relay.Member{Name: name, Address: n.Address, DataCentre: n.DataCentre, Cores: n.Cores})
+		}
+	}
+	slices.SortFunc(members, func(a, b relay.Member) int { return strings.Compare(a.Name, b.Name) })
+	return members
+}
--- a/jobnode/settings.go
+++ b/jobnode/settings.go
@@ -17,6 +17,7 @@
 	DataCentre      string         `yaml:"data_centre"`
 	CallerAddress   netip.AddrPort `yaml:"caller_address"`   // listens for members
 	ReadyAddress    netip.AddrPort `yaml:"ready_address"`    // answers whether the node takes new calls, and serves its metrics
+	PeerAddress     netip.AddrPort `yaml:"peer_address"`     // listens for other nodes; may be left out, and the node then carries no orders
 	StoreAddress    netip.AddrPort `yaml:"store_address"`    // the platform's store
 	MachinesAddress netip.AddrPort `yaml:"machines_address"` // the platform's list of machines; may be left out
 	PolicyAddress   netip.AddrPort `yaml:"policy_address"`   // the service that knows the queues' policies; may be left out
--- a/jobnode/template_test.go
+++ b/jobnode/template_test.go
@@ -22,7 +22,7 @@
 		"platform.address": "10.200.1.7:8344", "cloud_api.address": "10.200.0.82:8344", "limits.cpu_share": "0.4", "bounds.revoke_ms": "5000",
 		"bounds.hold_max_ms": "6000", "bounds.grace_s": "6", "bounds.early_ms": "250", "bounds.lease_ms": "3000", "bounds.notice_ms": "4500",
 		"bounds.maintenance_s": "2", "bounds.migrate_s": "1.5", "cloud_api.duty_per_s": "64.0",
-		"recommendation": "10.200.1.9:8344",
+		"ip": "10.1.0.23", "internal_ports.0": "7000", "recommendation": "10.200.1.9:8344",
 	}
 	rendered := regexp.MustCompile(`\{\{[^}]*\}\}`).ReplaceAllStringFunc(string(text), func(placeholder string) string {
 		if strings.HasPrefix(placeholder, "{{#") || strings.HasPrefix(placeholder, "{{/") {
@@ -40,6 +40,7 @@
 	assert.InDelta(t, 0.4, s.Cores, 0)
 	assert.InDelta(t, 64, s.MachineOrders, 0)
 	assert.Equal(t, "10.200.1.9:8344", s.PolicyAddress.String())
+	assert.Equal(t, "10.1.0.23:7000", s.PeerAddress.String())
 	assert.Equal(t, 6*time.Second, s.Bounds.LeaseMost)
 	assert.Equal(t, 2*time.Second, s.Bounds.Upkeep)
 	assert.Equal(t, "10.200.0.82:8344", s.MachinesAddress.String())
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -89,6 +89,7 @@
 type Node struct {
 	Cores      float64 `json:"c"`
 	DataCentre string  `json:"d,omitempty"`
+	Address    string  `json:"p,omitempty"` // for other nodes; empty if the node carries no orders
 	Life       string  `json:"l,omitempty"`
 	Start      int64   `json:"s,omitempty"` // rises with each start of the node's process
 	Ended      int64   `json:"e,omitempty"` // newest epoch in which this process gives no more orders
--- a/peer/server.go
+++ b/peer/server.go
@@ -11,6 +11,7 @@
 
 	"example.org/comfreyrouter/errkind"
 	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/internal/rpccodec"
 	"example.org/comfreyrouter/logclient"
 )
 
@@ -65,7 +66,7 @@
 	s := &Server{
 		listener: listener,
 		rpc:      rpc.NewServer(),
-		limit:    MaxMessageBytes,
+		limit:    rpccodec.MaxMessageBytes,
 		ctx:      ctx,
 		cancel:   cancel,
 		slots:    make(chan struct{}, maxConnections),
@@ -132,7 +133,7 @@
 		return
 	}
 	s.serving.Go(func() {
-		s.rpc.ServeCodec(serverCodec{newServerCodec(conn, s.limit)})
+		s.rpc.ServeCodec(rpccodec.NewServer(conn, s.limit))
 		s.forget(conn)
 		<-s.slots
 	})
--- /dev/null
+++ b/relay/choose_test.go
@@ -0,0 +1,59 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func members(n int) []Member {
+	var all []Member
+	for i := range n {
+		all = append(all, Member{Name: fmt.Sprintf("node-%d", i), DataCentre: fmt.Sprintf("dc%d", i%3), Cores: 0.2})
+	}
+	return all
+}
+
+// TestRelaysAreNear guards against reports that cross between data centres although a node of the server's own one could fetch them.
+func TestRelaysAreNear(t *testing.T) {
+	all := members(12)
+	for i := range 200 {
+		server, place := fmt.Sprintf("i-%d", i), fmt.Sprintf("dc%d", i%3)
+		var near []Member
+		for _, m := range all {
+			if m.DataCentre == place {
+				near = append(near, m)
+			}
+		}
+		assert.Equal(t, Choose(near, server, ""), Choose(all, server, place))
+	}
+	assert.NotEmpty(t, Choose(all, "i-1", "elsewhere"), "any relay is better than none")
+	assert.Empty(t, Choose(nil, "i-1", "dc0"))
+}
+
+// TestALeavingRelayMovesOnlyItsOwnServers guards against new connections to all servers whenever one node comes or goes.
+func TestALeavingRelayMovesOnlyItsOwnServers(t *testing.T) {
+	all := members(12)
+	for i := range 500 {
+		server := fmt.Sprintf("i-%d", i)
+		if before := Choose(all, server, ""); before != all[0].Name {
+			assert.Equal(t, before, Choose(all[1:], server, ""))
+		}
+	}
+}
+
+// TestStrongRelaysGetMoreServers guards against a weak node that gets as many servers as one with four times its processor.
+func TestStrongRelaysGetMoreServers(t *testing.T) {
+	all := members(10)
+	all[0].Cores = 0.8
+	counts := map[string]int{}
+	const servers = 13000
+	for i := range servers {
+		counts[Choose(all, fmt.Sprintf("i-%d", i), "")]++
+	}
+	assert.InEpsilon(t, servers*4/13, counts[all[0].Name], 0.1)
+	for _, m := range all[1:] {
+		assert.InEpsilon(t, servers/13, counts[m.Name], 0.2, m.Name)
+	}
+}
--- /dev/null
+++ b/relay/fleet.go
@@ -0,0 +1,155 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"example.org/comfreyrouter/jobs"
+	"example.org/comfreyrouter/platform"
+)
+
+// Fleet carries the orders of one dispatcher: through relays, or by itself to servers for which there is no relay that works.
+type Fleet struct {
+	own Carrier
+	log zerolog.Logger
+
+	mu      sync.Mutex
+	members []Member
+	links   map[string]*link  // by the relay's name
+	chosen  map[string]string // by server: the relay that carries its orders; empty for none
+	closed  bool
+}
+
+// NewFleet returns a fleet without relays.
+func NewFleet(own Carrier, log zerolog.Logger) *Fleet {
+	return &Fleet{own: own, log: log, links: map[string]*link{}, chosen: map[string]string{}}
+}
+
+// SetMembers says which nodes may be relays.
+func (f *Fleet) SetMembers(members []Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return
+	}
+	f.members = members
+	clear(f.chosen)
+	keep := make(map[string]string, len(members))
+	for _, m := range members {
+		keep[m.Name] = m.Address
+	}
+	for name, l := range f.links {
+		if keep[name] != l.address {
+			l.close()
+			delete(f.links, name)
+		}
+	}
+}
+
+// Close ends the connections to all relays. Orders that come later are carried directly.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closed, f.members = true, nil
+	clear(f.chosen)
+	for name, l := range f.links {
+		l.close()
+		delete(f.links, name)
+	}
+}
+
+// link returns the connection to the relay of a server, or nil if there is none that works.
+func (f *Fleet) link(server jobs.Server) *link {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	name, known := f.chosen[server.ID]
+	if l := f.links[name]; !known || l != nil && !l.usable(now) {
+		name = Choose(f.working(now), server.ID, server.DataCentre)
+		f.chosen[server.ID] = name
+	}
+	if name == "" {
+		delete(f.chosen, server.ID) // a relay may work again at the next order
+		return nil
+	}
+	if l := f.links[name]; l != nil {
+		return l
+	}
+	for _, m := range f.members {
+		if m.Name == name {
+			f.links[name] = newLink(m.Name, m.Address, f.log)
+			return f.links[name]
+		}
+	}
+	return nil
+}
+
+// working returns the members that haven't failed a moment ago. The lock must be held.
+func (f *Fleet) working(now time.Time) []Member {
+	var members []Member
+	for _, m := range f.members {
+		if l := f.links[m.Name]; l == nil || l.usable(now) {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+// orderWithin bounds an order through a relay: the call of the relay to the server, and the way there and back.
+const orderWithin = platform.OrderTimeout + 300*time.Millisecond
+
+// Start starts a task. A relay that doesn't answer may have started it.
+func (f *Fleet) Start(ctx context.Context, server jobs.Server, o jobs.Order) jobs.StartResult {
+	l := f.link(server)
+	if l == nil {
+		return f.own.Start(ctx, server, o)
+	}
+	var reply StartReply
+	switch l.call(ctx, "Start", StartArgs{target(server), o}, &reply, orderWithin) {
+	case nil:
+		return reply.Result
+	case errNotSent:
+		return f.own.Start(ctx, server, o)
+	}
+	return jobs.StartUnknown
+}
+
+// Stop ends a run, and reports whether the server has confirmed. Both ways are tried, since a stop can be repeated.
+func (f *Fleet) Stop(ctx context.Context, server jobs.Server, task string, attempt, fence int64) bool {
+	if l := f.link(server); l != nil {
+		var reply RunReply
+		if l.call(ctx, "Stop", RunArgs{target(server), task, attempt, fence, 0}, &reply, orderWithin) == nil {
+			return reply.Confirmed
+		}
+	}
+	return f.own.Stop(ctx, server, task, attempt, fence)
+}
+
+// Pace sets the share of its speed at which a run works, and reports whether the server has confirmed.
+func (f *Fleet) Pace(ctx context.Context, server jobs.Server, task string, attempt, fence int64, percent int) bool {
+	if l := f.link(server); l != nil {
+		var reply RunReply
+		if l.call(ctx, "Pace", RunArgs{target(server), task, attempt, fence, percent}, &reply, orderWithin) == nil {
+			return reply.Confirmed
+		}
+	}
+	return f.own.Pace(ctx, server, task, attempt, fence, percent)
+}
+
+// Renew extends the leases on a server and returns its report. If the relay fails the server is asked directly and at once, so that a
+// relay that has gone doesn't make its servers look silent.
+func (f *Fleet) Renew(ctx context.Context, server jobs.Server, r platform.Renewal) (jobs.Report, platform.RenewalResult) {
+	if l := f.link(server); l != nil {
+		var reply RenewReply
+		if l.call(ctx, "Renew", RenewArgs{target(server), r}, &reply, r.Wait+platform.RenewalSlack+orderWithin) == nil {
+			return reply.Report, reply.Result
+		}
+		r.Wait = 0
+	}
+	return f.own.Renew(ctx, server, r)
+}
+
+func target(s jobs.Server) Target { return Target{s.ID, s.Address} }
