End only the dispatcher on an unexpected error, bound what one timed job lays out, mark new jobs when they are stored

Faults found by looking for what operators of similar systems ran into, each with a test that failed first: - A panic in a loop of the dispatcher ended the process; its successors would have met the same record. It now ends the dispatcher only. - Progress with a negative index panicked, and a stored job that no node would accept wasn't checked. - A job whose thousands of occurrences are all due laid out all their tasks (FuzzTakeover hung); its progress would also have exceeded the largest record. At most 20,000 tasks of a job are laid out, and 5,000 occurrences are accepted (100,000 before).

A job that the dispatcher stores for another node, and that will start soon, is marked as possibly begun in the same append; it waited about 45 ms for one of its own.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -187,6 +187,7 @@
 	ended     map[string]bool     // jobs whose end was decided
 	learned   map[string]*runtime // by queue
 	admission admission
+	ahead     map[string]int // jobs that are marked and wait, by service, at the last pass
 	usualRoom jobs.Resources // of a server
 	now       time.Duration
 	wallMS    int64
@@ -237,7 +238,7 @@
 	c := &Core{
 		params: p, servers: map[string]*server{}, jobs: map[string]*job{}, usage: map[string]jobs.Resources{},
 		dirty: map[string]*job{}, ended: map[string]bool{}, learned: map[string]*runtime{}, events: map[string]int{},
-		arrivals: map[string]*arrivals{}, shares: map[string]*share{},
+		arrivals: map[string]*arrivals{}, shares: map[string]*share{}, ahead: map[string]int{},
 		admission: admission{admitted: map[string]admitted{}, turned: map[string]turned{}},
 		now:       now, wallMS: wallMS,
 	}
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -22,6 +22,10 @@
 }
 
 func (c *Core) addJob(e *ledger.Entry) {
+	if e.Submission.Spec.Validate() != nil {
+		c.count("job_invalid") // nodes accept none, so another writer has stored it
+		return
+	}
 	age := min(max(time.Duration(c.wallMS-e.Submission.ReceivedMS)*time.Millisecond, 0), maxTakenAge)
 	j := &job{
 		sub: e.Submission, offset: e.Offset, submitted: c.now - age, started: e.Progress.Started,
@@ -68,12 +72,12 @@
 			return
 		}
 		for _, k := range sp.Done {
-			if k < len(o.steps[i].tasks) {
+			if k >= 0 && k < len(o.steps[i].tasks) {
 				o.steps[i].tasks[k].markDone()
 			}
 		}
 		for k, f := range sp.Fails {
-			if k < len(o.steps[i].tasks) {
+			if k >= 0 && k < len(o.steps[i].tasks) {
 				o.steps[i].tasks[k].failed = f.Attempts
 				o.job.failed = o.job.failed || o.steps[i].tasks[k].exhausted()
 			}
@@ -94,10 +98,25 @@
 	}
 }
 
+// maxOpenTasks bounds the tasks that are laid out of one timed job, so that one whose occurrences are all due doesn't use up the memory. A single
+// occurrence may have more.
+const maxOpenTasks = 20_000
+
+// openTasks returns how many tasks of a job are laid out.
+func (j *job) openTasks() int {
+	n := 0
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			n += len(s.tasks)
+		}
+	}
+	return n
+}
+
 // openOccurrences lays out the occurrences of a timed job whose time has come.
 func (c *Core) openOccurrences(j *job) {
 	spec := j.sub.Spec
-	for j.nextOcc < spec.Repeated {
+	for j.nextOcc < spec.Repeated && j.openTasks() < maxOpenTasks {
 		due := spec.FirstMS + int64(j.nextOcc)*spec.EveryMS
 		if c.wallMS < due-c.params.Early.Milliseconds()/2 {
 			return
--- a/dispatch/mark.go
+++ b/dispatch/mark.go
@@ -27,6 +27,13 @@
 	return 1
 }
 
+// StartsSoon reports whether a job that was admitted, and hasn't come to this dispatcher yet, may be marked when it is stored, because fewer than
+// markAhead jobs of its service wait.
+func (c *Core) StartsSoon(id string) bool {
+	a, there := c.admission.admitted[id]
+	return there && c.jobs[id] == nil && !c.ended[id] && c.ahead[a.service] < markAhead
+}
+
 // atLimit reports whether the upper limit of its workspace keeps a job from starting any task.
 func (c *Core) atLimit(j *job) bool {
 	usage, limit := c.usage[j.sub.Workspace], c.limits[j.sub.Workspace]
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -356,3 +356,18 @@
 	assert.Equal(t, 3, w.starts)
 	assert.Equal(t, jobs.Complete, w.phase(s.ID))
 }
+
+// TestAJobWhoseOccurrencesAreAllDueIsLaidOutInParts guards against one call that uses up the memory of each node that dispatches, one after another: a
+// job of many tasks that repeats thousands of times without a pause (found by FuzzTakeover, which hung).
+func TestAJobWhoseOccurrencesAreAllDueIsLaidOutInParts(t *testing.T) {
+	w := newWorld(9, 1)
+	spec := jobs.Spec{Text: "x", Steps: []jobs.Step{stepOf(1000, 10)}, FirstMS: 1, Repeated: 5000}
+	require.NoError(t, spec.Validate())
+	s := jobs.Submission{ID: oldJob, Route: "q", Service: "pool", Workspace: "w", MaxAttempts: 3, SlackFactor: 1.6, ReceivedMS: w.wall(), Spec: spec}
+	w.apply([]ledger.Record{ledger.SubmissionRecord(s)})
+	w.core.Schedule()
+	assert.LessOrEqual(t, w.core.jobs[oldJob].openTasks(), maxOpenTasks)
+	assert.Equal(t, maxOpenTasks/1000, w.core.jobs[oldJob].nextOcc)
+	spec.Repeated = 100_000
+	assert.Error(t, spec.Validate(), "its progress fits into no record")
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -50,8 +50,9 @@
 		service := c.serviceOf(j)
 		byService[service] = append(byService[service], c.candidate(j))
 	}
+	clear(c.ahead)
 	for service, waiting := range byService {
-		c.place(service, waiting)
+		c.ahead[service] = c.place(service, waiting)
 	}
 }
 
@@ -83,8 +84,8 @@
 	return true
 }
 
-// place starts tasks of one service, the most urgent jobs first.
-func (c *Core) place(service string, waiting []candidate) {
+// place starts tasks of one service, the most urgent jobs first, and returns how many of those that may start wait.
+func (c *Core) place(service string, waiting []candidate) int {
 	var pool []*server
 	for _, s := range c.servers {
 		if s.info.Service == service && c.usable(s) {
@@ -92,7 +93,7 @@
 		}
 	}
 	if len(pool) == 0 {
-		return
+		return len(waiting)
 	}
 	slices.SortFunc(pool, func(a, b *server) int { return cmp.Compare(a.info.ID, b.info.ID) })
 	slices.SortFunc(waiting, compareCandidates)
@@ -111,6 +112,7 @@
 			ahead++
 		}
 	}
+	return ahead
 }
 
 // lateReserve is the share of a pool's processors that jobs which can't be on time leave free. Their tasks run for about a second, and a turn of the
--- a/jobnode/asking_test.go
+++ b/jobnode/asking_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"example.org/comfreyrouter/dispatch"
 	"example.org/comfreyrouter/internal/boottime"
 	"example.org/comfreyrouter/internal/standin/keyedstore"
 	"example.org/comfreyrouter/jobs"
@@ -88,3 +89,26 @@
 	_, ok := a.decide(&jobs.Submission{})
 	assert.False(t, ok, "a node that doesn't dispatch decides nothing")
 }
+
+// TestOnlyNewJobsAreMarkedWhenTheyAreStored guards against a job that is handed in again and loses its progress, so that its tasks run twice.
+func TestOnlyNewJobsAreMarkedWhenTheyAreStored(t *testing.T) {
+	t.Parallel()
+	f := newFollower(nil, zerolog.Nop())
+	spec := jobs.Spec{Steps: []jobs.Step{{Count: 1}}}
+	submit := func(id string) ledger.Record {
+		return ledger.SubmissionRecord(jobs.Submission{ID: id, Spec: spec, MaxAttempts: 1})
+	}
+	const running, done, fresh = "00000000000000a1", "00000000000000a2", "00000000000000a3"
+	for i, r := range append([]ledger.Record{submit(running), submit(done)}, ledger.FinalRecords(done, ledger.Final{Phase: jobs.Complete})...) {
+		_, _, err := f.ledger.Apply(r, int64(i))
+		require.NoError(t, err)
+	}
+	d := &dispatcher{follower: f, core: dispatch.New(dispatch.Params{Epoch: 1}, f.ledger, &jobs.Configuration{}, 0, 0)}
+	for _, id := range []string{running, done, fresh} {
+		d.core.Admit(&jobs.Submission{ID: id, Spec: spec})
+	}
+	marks := d.marks([]ledger.Record{submit(running), submit(done), submit(fresh), submit("00000000000000a4"), ledger.CancelRecord(fresh)})
+	assert.Equal(t, []ledger.Record{ledger.ProgressRecord(fresh, ledger.Progress{May: true})}, marks)
+	f.ledger = ledger.New() // the job has come to the core, and the record isn't read again yet
+	assert.Empty(t, d.marks([]ledger.Record{submit(running)}))
+}
--- a/jobnode/batches.go
+++ b/jobnode/batches.go
@@ -12,6 +12,28 @@
 	"example.org/comfreyrouter/platform"
 )
 
+// putPause is the pause between two appends while other nodes wait for them.
+const putPause = 15 * time.Millisecond
+
+// marks returns the records that new jobs may have been started, if these start soon, so that they needn't wait for an append of their own. A job that is known has
+// progress, which they must not replace; all progress is stored by this goroutine.
+func (d *dispatcher) marks(records []ledger.Record) []ledger.Record {
+	var marks []ledger.Record
+	for _, r := range records {
+		id, ok := ledger.SubmittedJob(r.Key)
+		if !ok {
+			continue
+		}
+		d.mu.Lock()
+		soon := d.core.StartsSoon(id)
+		d.mu.Unlock()
+		if soon && !d.follower.known(id) {
+			marks = append(marks, ledger.ProgressRecord(id, ledger.Progress{May: true}))
+		}
+	}
+	return marks
+}
+
 // put is records that another node waits for.
 type put struct {
 	records []ledger.Record
@@ -89,7 +111,7 @@
 		d.mu.Unlock()
 		due := boottime.Now()-last >= renewEvery
 		for _, p := range puts {
-			batch.Records = append(batch.Records, p.records...)
+			batch.Records = append(append(batch.Records, p.records...), d.marks(p.records)...)
 		}
 		if len(batch.Records) == 0 && !due {
 			d.stored(batch)
@@ -106,7 +128,11 @@
 		}
 		answerPuts(puts, PutStored)
 		d.stored(batch)
-		sleep(ctx, storePause)
+		if len(puts) > 0 {
+			sleep(ctx, putPause)
+		} else {
+			sleep(ctx, storePause)
+		}
 	}
 }
 
--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -90,8 +92,11 @@
 	n.admission.current.Store(d)
 	defer n.admission.current.Store(nil)
 	var wg sync.WaitGroup
-	for _, work := range []func(context.Context){d.followServers, d.chooseRelays, d.storeBatches, d.schedule, d.askPolicies, d.keepMachines, d.reportState} {
-		wg.Go(func() { work(ctx) })
+	for name, work := range map[string]func(context.Context){
+		"servers": d.followServers, "relays": d.chooseRelays, "records": d.storeBatches, "schedule": d.schedule, "policies": d.askPolicies,
+		"machines": d.keepMachines, "state": d.reportState,
+	} {
+		wg.Go(func() { d.guard(name, func() { work(ctx) }) })
 	}
 	wg.Wait()
 	d.release()
@@ -131,11 +136,7 @@
 
 // update changes the core under its lock, at the present time.
 func (d *dispatcher) update(f func(c *dispatch.Core)) {
-	d.mu.Lock()
-	d.advance()
-	f(d.core)
-	orders, notes, ended := d.core.TakeOrders(), d.core.TakeNotes(), d.core.TakeJobNotes()
-	d.mu.Unlock()
+	orders, notes, ended := d.apply(f)
 	for _, n := range notes {
 		events.Log(d.log, events.ServerNote, n.Server, n.Reason, n.Runs, n.Age.Seconds())
 	}
@@ -145,6 +146,27 @@
 	d.send(orders)
 }
 
+// apply changes the core, and returns what follows from it.
+func (d *dispatcher) apply(f func(c *dispatch.Core)) ([]dispatch.Order, []dispatch.Note, []dispatch.JobNote) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.advance()
+	f(d.core)
+	return d.core.TakeOrders(), d.core.TakeNotes(), d.core.TakeJobNotes()
+}
+
+// guard runs a part of the dispatcher. An unexpected error ends the dispatcher, not the process, which goes on answering calls while another node
+// takes over.
+func (d *dispatcher) guard(name string, f func()) {
+	defer func() {
+		if r := recover(); r != nil {
+			events.Log(d.log, events.CallPanicked, name, fmt.Sprint(r), string(debug.Stack()))
+			d.cancel()
+		}
+	}()
+	f()
+}
+
 // advance sets the core's time. The lock must be held.
 func (d *dispatcher) advance() {
 	now := boottime.Now()
@@ -221,7 +243,7 @@
 	for _, id := range d.core.Servers() {
 		if !d.asking[id] {
 			d.asking[id] = true
-			go d.askServer(ctx, id)
+			go d.guard("server "+id, func() { d.askServer(ctx, id) })
 		}
 	}
 }
--- a/jobnode/node_test.go
+++ b/jobnode/node_test.go
@@ -1,16 +1,21 @@
 package jobnode
 
 import (
+	"context"
 	"net/http"
 	"os"
 	"path/filepath"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"example.org/comfreyrouter/dispatch"
 	"example.org/comfreyrouter/internal/standin/keyedstore"
+	"example.org/comfreyrouter/jobs"
+	"example.org/comfreyrouter/ledger"
 )
 
 // TestJobWithTwoStepsRuns guards against a path from a member to the backend servers that loses a job, and against state that only the
@@ -174,3 +179,29 @@
 	assert.ErrorContains(t, write(good+"bounds:\n  grace: \"-1s\"\n"), "bounds.grace")
 	assert.ErrorContains(t, write("name: a\n"), "store_address is missing")
 }
+
+// TestAWithdrawnKeyStaysWithdrawnAfterARestart guards against a node that starts anew and reads an older configuration, in which a key still counts.
+func TestAWithdrawnKeyStaysWithdrawnAfterARestart(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	n := f.node("a")
+	require.Equal(t, http.StatusOK, n.status(http.MethodPost, "/q/"+jobID, testKey, twoSteps))
+	f.configure(2, "key-2")
+	require.Eventually(t, func() bool { return n.status(http.MethodGet, "/q/"+jobID, testKey, "") == http.StatusUnauthorized }, eventually, lookEvery)
+	n.stop()
+	again := f.node("a")
+	for range 20 {
+		assert.Equal(t, http.StatusUnauthorized, again.status(http.MethodGet, "/q/"+jobID, testKey, ""))
+	}
+	assert.Equal(t, http.StatusOK, again.status(http.MethodGet, "/q/"+jobID, "key-2", ""))
+}
+
+// TestAnUnexpectedErrorEndsTheDispatcherOnly guards against a node that ends, and takes its callers' connections with it, because a decision panics;
+// and against a lock that stays held, so that the node never stops dispatching.
+func TestAnUnexpectedErrorEndsTheDispatcherOnly(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	d := &dispatcher{log: zerolog.Nop(), cancel: cancel, core: dispatch.New(dispatch.Params{Epoch: 1}, ledger.New(), &jobs.Configuration{}, 0, 0)}
+	d.guard("schedule", func() { d.update(func(*dispatch.Core) { panic("unexpected") }) })
+	assert.Error(t, ctx.Err(), "the place is given up")
+	assert.False(t, d.holdsPlace(), "and the lock is free")
+}
--- a/jobnode/orders.go
+++ b/jobnode/orders.go
@@ -14,7 +14,7 @@
 // send carries out orders, each on its own: servers answer in any order.
 func (d *dispatcher) send(orders []dispatch.Order) {
 	for _, o := range orders {
-		go d.sendOne(o)
+		go d.guard("order", func() { d.sendOne(o) })
 	}
 }
 
@@ -32,7 +32,7 @@
 		}
 		d.update(func(c *dispatch.Core) { c.StartAnswered(o.Server.ID, o.Start.Task.String(), o.Start.Attempt, result) })
 		if result == jobs.Started && o.Start.LongRunning {
-			go d.watchStart(o.Server.ID)
+			go d.guard("start", func() { d.watchStart(o.Server.ID) })
 		}
 		if result != jobs.Started {
 			events.Log(d.log, events.StartRefused, o.Start.Task.String(), o.Server.ID, int(result))
--- a/jobs/validate.go
+++ b/jobs/validate.go
@@ -7,7 +7,7 @@
 	maxSteps       = 64
 	maxTasks       = 20_000 // of all steps
 	maxTextBytes   = 4_000  // from the platform's pages
-	maxOccurrences = 100_000
+	maxOccurrences = 5_000 // the progress of all has to fit into one record of 256 KB
 	idLength       = 16 // hexadecimal digits
 )
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -160,6 +160,9 @@
 	return &Ledger{Jobs: map[string]*Entry{}, Servers: map[string]Server{}, Waves: map[string][]string{}, Machines: map[string]MachineOrder{}, Nodes: map[string]Node{}}
 }
 
+// SubmittedJob returns the job that a record with a key submits.
+func SubmittedJob(key string) (id string, ok bool) { return strings.CutPrefix(key, prefixJob) }
+
 // Known reports whether the job was accepted.
 func (l *Ledger) Known(id string) bool {
 	e := l.Jobs[id]
