--- a/jobs/validate.go
+++ b/jobs/validate.go
@@ -7,8 +7,8 @@
 	maxSteps       = 64
 	maxTasks       = 20_000 // of all steps
 	maxTextBytes   = 4_000  // from the platform's pages
-	maxOccurrences = 5_000 // the progress of all has to fit into one record of 256 KB
-	idLength       = 16 // hexadecimal digits
+	maxOccurrences = 5_000  // the progress of all has to fit into one record of 256 KB
+	idLength       = 16     // hexadecimal digits
 )
 
 // ValidID reports whether a string is the id of a job.
