Refuse no job that may be stored already

A caller who is refused is told that the job never runs. A job that was accepted, and whose append got no answer, may be stored seconds later; its next try was decided on anew and could be refused. The dispatcher now accepts again what it accepted within a minute, nodes tell it of jobs that they accepted without its verdict and whose append got no answer, and a new dispatcher refuses nothing for 5 s.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -13,8 +13,13 @@
 	// admittedWithin is how long an accepted job counts although it hasn't come: its node stores it within writeBudget.
 	admittedWithin = 2 * time.Second
 	// turnedKept is how long it is known that a caller was turned away, and early by how much sooner than told a caller may return.
-	turnedKept  = 30 * time.Second
-	returnEarly = 500 * time.Millisecond
+	turnedKept = 30 * time.Second
+	// acceptedKept is how long a job that was accepted once is not refused. Its append may have got no answer and take effect seconds later, and a
+	// caller who is refused is told that the job never runs.
+	acceptedKept = time.Minute
+	// unknownBefore is how long a new dispatcher refuses nothing, because it doesn't know what was accepted before; an append takes effect within it.
+	unknownBefore = 5 * time.Second
+	returnEarly   = 500 * time.Millisecond
 )
 
 // Coming is what is on its way to a service.
@@ -41,8 +46,14 @@
 	coming     map[string]Coming
 	admitted   map[string]admitted // by job
 	turned     map[string]turned   // by job
+	// accepted is when a job was accepted last; since is when this dispatcher began.
+	accepted map[string]time.Duration
+	since    time.Duration
 }
 
+// NoteAccepted notes that a node has accepted a job without a verdict, and doesn't know whether it is stored.
+func (c *Core) NoteAccepted(id string) { c.admission.accepted[id] = c.now }
+
 // SetComing takes the servers that are on their way, by service.
 func (c *Core) SetComing(coming map[string]Coming) { c.admission.coming = coming }
 
@@ -74,8 +85,13 @@
 	}
 	ask.Needs = needs
 	v := turnaway.Decide(s, ask)
+	_, before := c.admission.accepted[sub.ID]
+	if before || c.now-c.admission.since < unknownBefore {
+		v = turnaway.Verdict{Accepted: true}
+	}
 	if v.Accepted {
 		delete(c.admission.turned, sub.ID)
+		c.NoteAccepted(sub.ID)
 		c.admission.admitted[sub.ID] = admitted{service, work, needs, c.now}
 		c.count("job_admitted")
 		return v
@@ -107,6 +123,11 @@
 			delete(a.turned, id)
 		}
 	}
+	for id, at := range a.accepted {
+		if c.now-at > acceptedKept {
+			delete(a.accepted, id)
+		}
+	}
 	a.services = map[string]turnaway.Service{}
 	for _, s := range c.servers {
 		if c.usable(s) {
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -239,7 +239,7 @@
 		params: p, servers: map[string]*server{}, jobs: map[string]*job{}, usage: map[string]jobs.Resources{},
 		dirty: map[string]*job{}, ended: map[string]bool{}, learned: map[string]*runtime{}, events: map[string]int{},
 		arrivals: map[string]*arrivals{}, shares: map[string]*share{}, ahead: map[string]int{},
-		admission: admission{admitted: map[string]admitted{}, turned: map[string]turned{}},
+		admission: admission{admitted: map[string]admitted{}, turned: map[string]turned{}, accepted: map[string]time.Duration{}, since: now},
 		now:       now, wallMS: wallMS,
 	}
 	c.SetConfiguration(config)
--- a/dispatch/late_test.go
+++ b/dispatch/late_test.go
@@ -92,6 +92,7 @@
 // are accepted by many nodes at the same moment as if each were the only one, and against a refusal that outlasts its reason.
 func TestWhatCannotBeOnTimeIsTurnedAway(t *testing.T) {
 	w := newWorld(34, 4)
+	w.run(unknownBefore)
 	w.config.Workspaces[0].Limit = jobs.Resources{}
 	w.core.SetConfiguration(w.config)
 	w.run(300 * time.Millisecond)
@@ -115,6 +116,12 @@
 	assert.Less(t, accepted, 15, "none of them has come to the dispatcher yet")
 	require.NotEmpty(t, refused)
 	assert.Greater(t, w.core.arrivals["pool"].rate.CPU, int64(20_000), "what is turned away needs servers too")
+	w.core.NoteAccepted(refused[1])
+	assert.True(t, w.core.Admit(asked(w, refused[1])).Accepted, "it may be stored, so that a refusal would be untrue")
+	assert.False(t, w.core.Admit(asked(w, refused[2])).Accepted)
+	w.core = New(Params{Epoch: w.epoch + 1, Lease: testLease, FormerUntil: w.now}, w.ledger, w.config, w.now, w.wall())
+	assert.True(t, w.core.Admit(asked(w, refused[2])).Accepted, "a new dispatcher doesn't know what was accepted")
+	w.takeOver()
 	w.run(30 * time.Second)
 	assert.True(t, w.core.Admit(asked(w, refused[0])).Accepted, "what was in the way is done")
 }
--- a/jobnode/asking.go
+++ b/jobnode/asking.go
@@ -99,21 +99,63 @@
 	to   string // address
 }
 
-// ask returns the dispatcher's verdict on a job. Without one in time the job is accepted.
-func (a *asker) ask(ctx context.Context, sub jobs.Submission) turnaway.Verdict {
+// ask returns the dispatcher's verdict on a job, and whether it is the dispatcher's. Without one in time the job is accepted.
+func (a *asker) ask(ctx context.Context, sub jobs.Submission) (v turnaway.Verdict, asked bool) {
 	if v, ok := a.admission.decide(&sub); ok {
-		return v
+		return v, true
 	}
 	accepted := turnaway.Verdict{Accepted: true}
 	link := a.dispatcher()
 	if link == nil || !link.Usable(time.Now()) {
-		return accepted
+		return accepted, false
 	}
 	var reply AskReply
 	if link.Call(ctx, askService+".Ask", sub, &reply, askWithin) != nil {
-		return accepted // the link logs when the node doesn't answer
+		return accepted, false // the link logs when the node doesn't answer
+	}
+	return reply.Verdict, true
+}
+
+// NoteArgs name a job that a node has accepted without a verdict, and of which it doesn't know whether it is stored.
+type NoteArgs struct{ Job string }
+
+// Accepted notes that a job must not be refused. It fails if this node doesn't dispatch.
+func (a *Admission) Accepted(args NoteArgs, _ *relay.PingReply) (err error) {
+	defer relay.Recovered(a.log, "Accepted", &err)
+	if !a.noteAccepted(args.Job) {
+		return errkind.New(errkind.Fenced, "this node doesn't dispatch")
+	}
+	return nil
+}
+
+func (a *Admission) noteAccepted(id string) bool {
+	d := a.current.Load()
+	if d == nil {
+		return false
+	}
+	d.update(func(c *dispatch.Core) { c.NoteAccepted(id) })
+	return true
+}
+
+// noteTries and notePause bound how long a node tries to tell the dispatcher of a job that it has accepted without a verdict.
+const (
+	noteTries = 20
+	notePause = 150 * time.Millisecond
+)
+
+// noteUnknown tells the dispatcher of a job that may be stored without its knowledge, so that it doesn't refuse the caller's next try: a caller who is
+// refused is told that the job never runs.
+func (a *asker) noteUnknown(id string) {
+	for range noteTries {
+		if a.admission.noteAccepted(id) {
+			return
+		}
+		if link := a.dispatcher(); link != nil && link.Usable(time.Now()) &&
+			link.Call(context.Background(), askService+".Accepted", NoteArgs{id}, &relay.PingReply{}, askWithin) == nil {
+			return
+		}
+		time.Sleep(notePause)
 	}
-	return reply.Verdict
 }
 
 // put asks the dispatcher to store records.
--- a/jobnode/front.go
+++ b/jobnode/front.go
@@ -135,10 +135,14 @@
 		if err := admit(sub.ID, f.node.follower.open()); err != nil {
 			return f.refuse(c, err)
 		}
-		if v := f.node.asker.ask(ctx, sub); !v.Accepted {
+		v, asked := f.node.asker.ask(ctx, sub)
+		if !v.Accepted {
 			return f.refuse(c, &retryLater{errkind.New(errkind.QueueFull, "%s at %s", v.Reason, sub.Service), v.Return})
 		}
 		if err := f.put(ctx, ledger.SubmissionRecord(sub)); err != nil {
+			if !asked && errkind.Of(err) == errkind.ClaimUnconfirmed {
+				go f.node.asker.noteUnknown(sub.ID)
+			}
 			return f.refuse(c, err)
 		}
 	}
