--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -15,9 +15,7 @@
 
 // Demand is what a service's tasks need.
 type Demand struct {
-	Need jobs.Resources // of what runs, waits and is about to come
-	// Late is what the tasks of jobs that can't be on time need, in addition.
-	Late jobs.Resources
+	Need jobs.Resources // of jobs that can be on time: what runs, waits and is about to come
 	// Standing is the part of it that long-running tasks need.
 	Standing jobs.Resources
 	// Apart is the most tasks of a long-running step that must run on different servers.
@@ -63,14 +61,13 @@
 func (c *Core) Demands() map[string]Demand {
 	demands := map[string]Demand{}
 	for _, j := range c.jobs {
-		if j.cancelled || j.failed {
-			continue
+		if j.cancelled || j.failed || c.candidate(j).rank.late() {
+			continue // machines come for jobs that can be on time
 		}
 		service := c.serviceOf(j)
 		d := demands[service]
-		late := c.candidate(j).rank.late()
 		for _, o := range j.occurrences {
-			d.add(o, late)
+			d.add(o)
 		}
 		demands[service] = d
 	}
@@ -89,7 +86,7 @@
 }
 
 // add counts the tasks of an occurrence.
-func (d *Demand) add(o *occurrence, late bool) {
+func (d *Demand) add(o *occurrence) {
 	for _, s := range o.steps {
 		running, waiting := 0, 0
 		for _, t := range s.tasks {
@@ -106,11 +103,7 @@
 		} else {
 			need += laterShare * float64(waiting)
 		}
-		if late {
-			d.Late = d.Late.Add(times(s.spec.Occupies(), need))
-		} else {
-			d.Need = d.Need.Add(times(s.spec.Occupies(), need))
-		}
+		d.Need = d.Need.Add(times(s.spec.Occupies(), need))
 		if s.spec.LongRunning {
 			d.Standing = d.Standing.Add(times(s.spec.Occupies(), float64(running+waiting)))
 		}
--- a/jobnode/asking.go
+++ b/jobnode/asking.go
@@ -46,7 +46,7 @@
 	return nil
 }
 
-// decide returns the verdict on a job, if this node dispatches. The core may not be there yet while a dispatcher takes over.
+// decide returns the verdict on a job, if this node is the dispatcher for certain.
 func (a *Admission) decide(sub *jobs.Submission) (v turnaway.Verdict, ok bool) {
 	d := a.current.Load()
 	if d == nil || !d.holdsPlace() {
