Close a relay's connections before it counts as stopped

Serve returned while another goroutine still closed its connections, so that a call could be answered after the stop, or break in its midst.

--- a/relay/service.go
+++ b/relay/service.go
@@ -121,6 +121,7 @@
 			if err == nil {
 				_ = conn.Close()
 			}
+			open.close() // nothing more is answered once this returns
 			return nil
 		case err != nil:
 			events.Log(log, events.DependencyLost, "connections of dispatchers", err)
