Serve net/rpc between nodes in one place, and let a panic of a peer's call end only that call

Cause: relay had its own copies of peer's accept loop, its tracking of connections and its pause, and jobnode and relay each logged panics. All of it is in internal/netrpc now, which also waits for the calls in progress when it stops. Found on the way: a panic in a method of package peer ended the entry VM, since net/rpc doesn't recover (peer.TestAnUnexpectedErrorEndsOnlyItsCall; without the change the test's process panics).

--- a/daemon/engine.go
+++ b/daemon/engine.go
@@ -82,7 +82,7 @@
 		engine:    e,
 		codec:     peer.NewLoadCodec(d.store.Config),
 		pacer:     peer.NewLoadPacer(),
-	}), nil
+	}, d.Logger), nil
 }
 
 // drain stops first of all services: it lets the engine finish its requests while everything that they need still runs.
--- a/internal/fleettest/nodes_test.go
+++ b/internal/fleettest/nodes_test.go
@@ -69,7 +69,7 @@
 	o.Store, o.Submitter, o.Backend, o.Peers, o.LogView, o.Counters = v.store, v.writer, v.client, v, v.follower, nullCounters{}
 	o.Limits.Lease = grantLease
 	v.Engine = entry.New(o)
-	v.server = peer.Serve(w.net.listen(v.host, peerAddress(i)), handler{peer.LogSource{Follower: v.follower, Store: v.store, Log: log}, v})
+	v.server = peer.Serve(w.net.listen(v.host, peerAddress(i)), handler{peer.LogSource{Follower: v.follower, Store: v.store, Log: log}, v}, zerolog.Nop())
 	v.run(i)
 	return v
 }
--- a/internal/rpccodec/codec.go
+++ b/internal/netrpc/codec.go
@@ -1,5 +1,6 @@
-// Package rpccodec is the encoding of net/rpc between nodes: gob with bounded messages and write deadlines.
-package rpccodec
+// Package netrpc serves net/rpc between nodes: gob with bounded messages and write deadlines, a bounded number of connections, and calls whose
+// panic ends only them.
+package netrpc
 
 import (
 	"bufio"
@@ -21,7 +22,7 @@
 	writeTimeout = 10 * time.Second
 )
 
-var errTooLarge = errors.New("rpccodec: the message is too large")
+var errTooLarge = errors.New("netrpc: the message is too large")
 
 // boundedReader fails when a message exceeds its bound. The codec resets it for each message; read-ahead of the buffer
 // above it counts for the message before.
--- a/jobnode/asking.go
+++ b/jobnode/asking.go
@@ -11,6 +11,7 @@
 	"example.org/comfreyrouter/dispatch"
 	"example.org/comfreyrouter/errkind"
 	"example.org/comfreyrouter/internal/boottime"
+	"example.org/comfreyrouter/internal/netrpc"
 	"example.org/comfreyrouter/jobs"
 	"example.org/comfreyrouter/ledger"
 	"example.org/comfreyrouter/relay"
@@ -37,7 +38,7 @@
 
 // Ask returns the verdict on a job. It fails if this node doesn't dispatch.
 func (a *Admission) Ask(sub jobs.Submission, reply *AskReply) (err error) {
-	defer relay.Recovered(a.log, "Ask", &err)
+	defer netrpc.Recovered(a.log, "Ask", &err)
 	v, ok := a.decide(&sub)
 	if !ok {
 		return errkind.New(errkind.Fenced, "this node doesn't dispatch")
@@ -75,7 +76,7 @@
 // Put stores records together with the next ones of the dispatcher. The store carries out one append after another, about 250 a second, which is less
 // than the jobs that many nodes take in a turn of the demand.
 func (a *Admission) Put(args PutArgs, reply *PutReply) (err error) {
-	defer relay.Recovered(a.log, "Put", &err)
+	defer netrpc.Recovered(a.log, "Put", &err)
 	reply.Outcome = a.put(args.Records)
 	return nil
 }
@@ -121,7 +122,7 @@
 
 // Accepted notes that a job must not be refused. It fails if this node doesn't dispatch.
 func (a *Admission) Accepted(args NoteArgs, _ *relay.PingReply) (err error) {
-	defer relay.Recovered(a.log, "Accepted", &err)
+	defer netrpc.Recovered(a.log, "Accepted", &err)
 	if !a.noteAccepted(args.Job) {
 		return errkind.New(errkind.Fenced, "this node doesn't dispatch")
 	}
--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +12,7 @@
 	"example.org/comfreyrouter/dispatch"
 	"example.org/comfreyrouter/events"
 	"example.org/comfreyrouter/internal/boottime"
+	"example.org/comfreyrouter/internal/netrpc"
 	"example.org/comfreyrouter/jobs"
 	"example.org/comfreyrouter/ledger"
 	"example.org/comfreyrouter/platform"
@@ -160,7 +159,7 @@
 func (d *dispatcher) guard(name string, f func()) {
 	defer func() {
 		if r := recover(); r != nil {
-			events.Log(d.log, events.CallPanicked, name, fmt.Sprint(r), string(debug.Stack()))
+			netrpc.LogPanic(d.log, name, r)
 			d.cancel()
 		}
 	}()
--- a/peer/client.go
+++ b/peer/client.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"example.org/comfreyrouter/errkind"
-	"example.org/comfreyrouter/internal/rpccodec"
+	"example.org/comfreyrouter/internal/netrpc"
 )
 
 // Defaults of a Client.
@@ -165,7 +165,7 @@
 		c.failed()
 		return nil, err
 	}
-	return c.use(rpc.NewClientWithCodec(rpccodec.NewClient(raw, c.timeout)))
+	return c.use(rpc.NewClientWithCodec(netrpc.NewClient(raw, c.timeout)))
 }
 
 func (c *Client) current() (*rpc.Client, error) {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -9,10 +9,12 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"example.org/comfreyrouter/errkind"
 	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/internal/netrpc"
 	"example.org/comfreyrouter/internal/standin/platform"
 	"example.org/comfreyrouter/logclient"
 )
@@ -118,7 +120,7 @@
 	v.Follower = logclient.NewFollower(logclient.FollowerOptions{
 		Log: core.Client(platform.Caller{Name: name}), Store: v.Store, Fallback: v.exchange, RecentBytes: recentBytes,
 	})
-	v.server = Serve(n.listen(name), v)
+	v.server = Serve(n.listen(name), v, zerolog.Nop())
 	go v.exchange.Run(ctx)
 	go v.Follower.Run(ctx)
 	return v
@@ -232,8 +234,9 @@
 func TestMessageOverBound(t *testing.T) {
 	run(t, func(ctx context.Context, t *testing.T, n *network, core *platform.Core) {
 		a := start(ctx, n, core, "a", 0)
+		require.NoError(t, a.server.Close())
+		a.server = serve(n.listen("a"), a, zerolog.Nop(), netrpc.Bounds{MessageBytes: 10_000, Connections: maxConnections})
 		defer a.server.Close()
-		a.server.limit = 10_000
 		client := NewClient("a", n.dial, 0)
 		defer client.Close()
 		_, err := client.Forward(ctx, ForwardArgs{TimeLeft: time.Second, Body: make([]byte, 20_000)})
@@ -243,3 +246,24 @@
 		require.Equal(t, errkind.RequestUnknown, errkind.Of(err), "the next connection serves again")
 	})
 }
+
+// panicking is a handler that panics when it is asked for records.
+type panicking struct{ *testVM }
+
+func (panicking) Records(context.Context, RecordsArgs) (RecordsReply, error) { panic("unexpected") }
+
+// Guards against one unexpected error in a peer's call that ends the process.
+func TestAnUnexpectedErrorEndsOnlyItsCall(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T, n *network, core *platform.Core) {
+		a := start(ctx, n, core, "a", 0)
+		require.NoError(t, a.server.Close())
+		a.server = Serve(n.listen("a"), panicking{a}, zerolog.Nop())
+		defer a.server.Close()
+		client := NewClient("a", n.dial, 0)
+		defer client.Close()
+		_, err := client.Records(ctx, RecordsArgs{})
+		require.Equal(t, errkind.Internal, errkind.Of(err))
+		_, err = client.Result(ctx, ResultArgs{})
+		require.Equal(t, errkind.RequestUnknown, errkind.Of(err))
+	})
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -7,11 +7,12 @@
 	"net/rpc"
 	"strings"
 	"sync"
-	"time"
+
+	"github.com/rs/zerolog"
 
 	"example.org/comfreyrouter/errkind"
 	"example.org/comfreyrouter/fleet"
-	"example.org/comfreyrouter/internal/rpccodec"
+	"example.org/comfreyrouter/internal/netrpc"
 	"example.org/comfreyrouter/logclient"
 )
 
@@ -39,159 +40,89 @@
 // Server serves a Handler to peers.
 type Server struct {
 	listener net.Listener
-	rpc      *rpc.Server
-	limit    int64
-	ctx      context.Context
 	cancel   context.CancelFunc
 	serving  sync.WaitGroup
-	slots    chan struct{}
-
-	mu     sync.Mutex
-	conns  map[net.Conn]bool
-	closed bool
 }
 
 // Listen serves h on an address, such as 10.0.0.1:7100, until Close.
-func Listen(address string, h Handler) (*Server, error) {
+func Listen(address string, h Handler, log zerolog.Logger) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return Serve(listener, h), nil
+	return Serve(listener, h, log), nil
 }
 
 // Serve serves h on a listener until Close.
-func Serve(listener net.Listener, h Handler) *Server {
+func Serve(listener net.Listener, h Handler, log zerolog.Logger) *Server {
+	return serve(listener, h, log, netrpc.Bounds{MessageBytes: netrpc.MaxMessageBytes, Connections: maxConnections})
+}
+
+func serve(listener net.Listener, h Handler, log zerolog.Logger, bounds netrpc.Bounds) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{
-		listener: listener,
-		rpc:      rpc.NewServer(),
-		limit:    rpccodec.MaxMessageBytes,
-		ctx:      ctx,
-		cancel:   cancel,
-		slots:    make(chan struct{}, maxConnections),
-		conns:    map[net.Conn]bool{},
-	}
-	if err := s.rpc.RegisterName(serviceName, &service{ctx: ctx, handler: h}); err != nil {
+	s := &Server{listener: listener, cancel: cancel}
+	methods := rpc.NewServer()
+	if err := methods.RegisterName(serviceName, &service{ctx: ctx, handler: h, log: log}); err != nil {
 		panic(err) // the methods of service are fixed
 	}
-	s.serving.Go(s.accept)
+	s.serving.Go(func() { netrpc.Serve(ctx, listener, methods, bounds, log) })
 	return s
 }
 
 // Addr returns the address that is listened on.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// Close ends all connections and waits for them.
+// Close ends all connections and waits for them. It always succeeds.
 func (s *Server) Close() error {
 	s.cancel()
-	err := s.listener.Close()
-	s.mu.Lock()
-	s.closed = true
-	for conn := range s.conns {
-		_ = conn.Close()
-	}
-	s.mu.Unlock()
 	s.serving.Wait()
-	return err
-}
-
-// acceptPause is the pause after a failed accept, for example when the process has no file descriptors left.
-const acceptPause = 50 * time.Millisecond
-
-func (s *Server) accept() {
-	for {
-		conn, err := s.listener.Accept()
-		if s.ctx.Err() != nil {
-			if err == nil {
-				_ = conn.Close()
-			}
-			return
-		}
-		if err != nil {
-			select {
-			case <-time.After(acceptPause):
-			case <-s.ctx.Done():
-			}
-			continue
-		}
-		s.start(conn)
-	}
-}
-
-// start serves a connection, or closes it if there are too many.
-func (s *Server) start(conn net.Conn) {
-	select {
-	case s.slots <- struct{}{}:
-	default:
-		_ = conn.Close()
-		return
-	}
-	if !s.track(conn) {
-		_ = conn.Close()
-		<-s.slots
-		return
-	}
-	s.serving.Go(func() {
-		s.rpc.ServeCodec(rpccodec.NewServer(conn, s.limit))
-		s.forget(conn)
-		<-s.slots
-	})
-}
-
-func (s *Server) track(conn net.Conn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed {
-		return false
-	}
-	s.conns[conn] = true
-	return true
-}
-
-func (s *Server) forget(conn net.Conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.conns, conn)
+	return nil
 }
 
 // service has the methods that net/rpc calls.
 type service struct {
 	ctx     context.Context
 	handler Handler
+	log     zerolog.Logger
 }
 
 // Heartbeat exchanges statuses.
-func (s *service) Heartbeat(args Status, reply *Status) error {
+func (s *service) Heartbeat(args Status, reply *Status) (err error) {
+	defer netrpc.Recovered(s.log, "Heartbeat", &err)
 	return answer(reply)(s.handler.Heartbeat(s.ctx, args))
 }
 
 // Records returns records of the log.
-func (s *service) Records(args RecordsArgs, reply *RecordsReply) error {
+func (s *service) Records(args RecordsArgs, reply *RecordsReply) (err error) {
+	defer netrpc.Recovered(s.log, "Records", &err)
 	return answer(reply)(s.handler.Records(s.ctx, args))
 }
 
 // Snapshot returns the whole state.
-func (s *service) Snapshot(args SnapshotArgs, reply *SnapshotReply) error {
+func (s *service) Snapshot(args SnapshotArgs, reply *SnapshotReply) (err error) {
+	defer netrpc.Recovered(s.log, "Snapshot", &err)
 	return answer(reply)(s.handler.Snapshot(s.ctx, args))
 }
 
 // Append appends a record for a peer.
-func (s *service) Append(args AppendArgs, reply *AppendReply) error {
+func (s *service) Append(args AppendArgs, reply *AppendReply) (err error) {
+	defer netrpc.Recovered(s.log, "Append", &err)
 	ctx, cancel := context.WithTimeout(s.ctx, DefaultTimeout)
 	defer cancel()
 	return answer(reply)(s.handler.Append(ctx, args))
 }
 
 // Forward runs a request whose id this VM issued.
-func (s *service) Forward(args ForwardArgs, reply *ResultReply) error {
+func (s *service) Forward(args ForwardArgs, reply *ResultReply) (err error) {
+	defer netrpc.Recovered(s.log, "Forward", &err)
 	ctx, cancel := context.WithTimeout(s.ctx, args.TimeLeft)
 	defer cancel()
 	return answer(reply)(s.handler.Forward(ctx, args))
 }
 
 // Result tells what became of a request.
-func (s *service) Result(args ResultArgs, reply *ResultReply) error {
+func (s *service) Result(args ResultArgs, reply *ResultReply) (err error) {
+	defer netrpc.Recovered(s.log, "Result", &err)
 	return answer(reply)(s.handler.Result(s.ctx, args))
 }
 
--- a/relay/link.go
+++ b/relay/link.go
@@ -11,7 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"example.org/comfreyrouter/events"
-	"example.org/comfreyrouter/internal/rpccodec"
+	"example.org/comfreyrouter/internal/netrpc"
 )
 
 const (
@@ -106,7 +106,7 @@
 		l.failed(nil, err)
 		return nil, err
 	}
-	client = rpc.NewClientWithCodec(rpccodec.NewClient(conn, pingTimeout))
+	client = rpc.NewClientWithCodec(netrpc.NewClient(conn, pingTimeout))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
--- a/relay/service.go
+++ b/relay/service.go
@@ -5,18 +5,13 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/rpc"
-	"runtime/debug"
 	"sync"
-	"time"
 
 	"github.com/rs/zerolog"
 
-	"example.org/comfreyrouter/errkind"
-	"example.org/comfreyrouter/events"
-	"example.org/comfreyrouter/internal/rpccodec"
+	"example.org/comfreyrouter/internal/netrpc"
 	"example.org/comfreyrouter/jobs"
 	"example.org/comfreyrouter/platform"
 )
@@ -36,8 +31,6 @@
 	maxRequestBytes = 2 << 20
 	// maxConnections bounds the connections of a relay: one from each of several hundred nodes that may dispatch one after another.
 	maxConnections = 1024
-	// acceptPause is the pause after a failed accept, for example when the process has no file descriptors left.
-	acceptPause = 50 * time.Millisecond
 )
 
 // Target names a backend server for a relay.
@@ -108,76 +101,8 @@
 			return err
 		}
 	}
-	var open conns
-	stop := context.AfterFunc(ctx, func() {
-		_ = l.Close() // what is accepted afterwards is closed below
-		open.close()
-	})
-	defer stop()
-	for {
-		conn, err := l.Accept()
-		switch {
-		case ctx.Err() != nil:
-			if err == nil {
-				_ = conn.Close()
-			}
-			open.close() // nothing more is answered once this returns
-			return nil
-		case err != nil:
-			events.Log(log, events.DependencyLost, "connections of dispatchers", err)
-			time.Sleep(acceptPause)
-		case !open.add(conn):
-			_ = conn.Close()
-		default:
-			go func() {
-				handler.ServeCodec(rpccodec.NewServer(conn, maxRequestBytes))
-				open.remove(conn)
-			}()
-		}
-	}
-}
-
-// conns are the open connections of a relay.
-type conns struct {
-	mu     sync.Mutex
-	open   map[net.Conn]bool
-	closed bool
-}
-
-func (c *conns) add(conn net.Conn) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed || len(c.open) >= maxConnections {
-		return false
-	}
-	if c.open == nil {
-		c.open = map[net.Conn]bool{}
-	}
-	c.open[conn] = true
-	return true
-}
-
-func (c *conns) remove(conn net.Conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.open, conn)
-}
-
-func (c *conns) close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closed = true
-	for conn := range c.open {
-		_ = conn.Close()
-	}
-}
-
-// Recovered turns a panic of a call into its error, since net/rpc would let it end the process. It has to be deferred.
-func Recovered(log zerolog.Logger, method string, err *error) {
-	if r := recover(); r != nil {
-		events.Log(log, events.CallPanicked, method, fmt.Sprint(r), string(debug.Stack()))
-		*err = errkind.New(errkind.Internal, "%s failed", method)
-	}
+	netrpc.Serve(ctx, l, handler, netrpc.Bounds{MessageBytes: maxRequestBytes, Connections: maxConnections}, log)
+	return nil
 }
 
 // outdated reports whether a backend server has refused a token as high, so that the dispatcher that has it is no longer the one.
@@ -195,7 +120,7 @@
 
 // Start starts a task.
 func (s *Service) Start(args StartArgs, reply *StartReply) (err error) {
-	defer Recovered(s.log, "Start", &err)
+	defer netrpc.Recovered(s.log, "Start", &err)
 	if s.outdated(args.Order.Fence) {
 		reply.Result = jobs.StartFenced
 		return nil
@@ -209,7 +134,7 @@
 
 // Stop ends a run.
 func (s *Service) Stop(args RunArgs, reply *RunReply) (err error) {
-	defer Recovered(s.log, "Stop", &err)
+	defer netrpc.Recovered(s.log, "Stop", &err)
 	if !s.outdated(args.Fence) {
 		reply.Confirmed = s.servers.Stop(s.ctx, args.Server.server(), args.Task, args.Attempt, args.Fence)
 	}
@@ -218,7 +143,7 @@
 
 // Pace sets the share of its speed at which a run works.
 func (s *Service) Pace(args RunArgs, reply *RunReply) (err error) {
-	defer Recovered(s.log, "Pace", &err)
+	defer netrpc.Recovered(s.log, "Pace", &err)
 	if !s.outdated(args.Fence) {
 		reply.Confirmed = s.servers.Pace(s.ctx, args.Server.server(), args.Task, args.Attempt, args.Fence, args.Percent)
 	}
@@ -227,7 +152,7 @@
 
 // Renew extends the leases on a backend server and returns its report.
 func (s *Service) Renew(args RenewArgs, reply *RenewReply) (err error) {
-	defer Recovered(s.log, "Renew", &err)
+	defer netrpc.Recovered(s.log, "Renew", &err)
 	if s.outdated(args.Renewal.Fence) {
 		reply.Result = platform.RenewalFenced
 		return nil
