Keep one share of a room and one objective of a job, and split the decision on new jobs

dispatch and pooling each computed by which kind a need fills a room most, and the objective of a job stood twice. Long functions of dispatch/admit.go are split. No behaviour changes; tests unchanged.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"example.org/comfreyrouter/jobs"
@@ -12,14 +13,14 @@
 	measureEvery = 40 * time.Millisecond
 	// admittedWithin is how long an accepted job counts although it hasn't come: its node stores it within writeBudget.
 	admittedWithin = 2 * time.Second
-	// turnedKept is how long it is known that a caller was turned away, and early by how much sooner than told a caller may return.
-	turnedKept = 30 * time.Second
+	// turnedKept is how long it is known that a caller was turned away, and returnEarly by how much sooner than told a caller may return.
+	turnedKept  = 30 * time.Second
+	returnEarly = 500 * time.Millisecond
 	// acceptedKept is how long a job that was accepted once is not refused. Its append may have got no answer and take effect seconds later, and a
 	// caller who is refused is told that the job never runs.
 	acceptedKept = time.Minute
 	// unknownBefore is how long a new dispatcher refuses nothing, because it doesn't know what was accepted before; an append takes effect within it.
 	unknownBefore = 5 * time.Second
-	returnEarly   = 500 * time.Millisecond
 )
 
 // Coming is what is on its way to a service.
@@ -57,7 +58,8 @@
 // SetComing takes the servers that are on their way, by service.
 func (c *Core) SetComing(coming map[string]Coming) { c.admission.coming = coming }
 
-// Admit decides whether a job that a caller wants to hand in is accepted. Jobs that last, or that have a time, always are.
+// Admit decides whether a job that a caller wants to hand in is accepted. Jobs that last, or that have a time, always are, and so are those that
+// may be stored already.
 func (c *Core) Admit(sub *jobs.Submission) turnaway.Verdict {
 	if sub.Spec.LongRunning() || sub.Spec.Timed() || c.jobs[sub.ID] != nil || c.ended[sub.ID] {
 		return turnaway.Verdict{Accepted: true}
@@ -65,45 +67,57 @@
 	c.measure()
 	j := &job{sub: sub, submitted: c.now, occurrences: map[int]*occurrence{}}
 	o := j.addOccurrence(0)
-	whole, _ := c.chain(o)
-	asked, known := c.admission.turned[sub.ID]
-	ask := turnaway.Job{
-		ID: sub.ID, Chain: whole, Objective: time.Duration(sub.SlackFactor*float64(whole)) + time.Duration(sub.TargetMS)*time.Millisecond,
-		OverShare: c.overShare(sub.Workspace),
+	a := admitted{service: c.serviceOf(j), at: c.now}
+	a.work, a.needs = c.waitingWork(o)
+	_, before := c.admission.accepted[sub.ID]
+	v := turnaway.Verdict{Accepted: true}
+	if !before && c.now-c.admission.since >= unknownBefore {
+		v = turnaway.Decide(c.serviceNow(a.service), c.asked(o, a.needs))
 	}
-	if known {
-		ask.Asked, ask.Returned = c.now-asked.first, c.now >= asked.back-returnEarly
+	if !v.Accepted {
+		c.turnAway(j, v)
+		return v
 	}
-	service := c.serviceOf(j)
-	s := c.admission.services[service]
-	work, needs := c.waitingWork(o)
+	delete(c.admission.turned, sub.ID)
+	c.NoteAccepted(sub.ID)
+	c.admission.admitted[sub.ID] = a
+	c.count("job_admitted")
+	return v
+}
+
+// serviceNow returns what a service has to do, with the jobs that were accepted and haven't come yet.
+func (c *Core) serviceNow(name string) turnaway.Service {
+	s := c.admission.services[name]
 	for _, a := range c.admission.admitted {
-		if a.service == service {
+		if a.service == name {
 			s.Backlog += a.work
 			s.Waiting += a.needs
 		}
 	}
-	ask.Needs = needs
-	v := turnaway.Decide(s, ask)
-	_, before := c.admission.accepted[sub.ID]
-	if before || c.now-c.admission.since < unknownBefore {
-		v = turnaway.Verdict{Accepted: true}
-	}
-	if v.Accepted {
-		delete(c.admission.turned, sub.ID)
-		c.NoteAccepted(sub.ID)
-		c.admission.admitted[sub.ID] = admitted{service, work, needs, c.now}
-		c.count("job_admitted")
-		return v
+	return s
+}
+
+// asked returns what the decision on a job needs to know of it. Its first tasks fill a number of servers.
+func (c *Core) asked(o *occurrence, needs float64) turnaway.Job {
+	sub := o.job.sub
+	whole, _ := c.chain(o)
+	ask := turnaway.Job{ID: sub.ID, Chain: whole, Needs: needs, Objective: objective(sub, whole), OverShare: c.overShare(sub.Workspace)}
+	if t, known := c.admission.turned[sub.ID]; known {
+		ask.Asked, ask.Returned = c.now-t.first, c.now >= t.back-returnEarly
 	}
+	return ask
+}
+
+// turnAway notes that a job was not accepted.
+func (c *Core) turnAway(j *job, v turnaway.Verdict) {
+	t, known := c.admission.turned[j.sub.ID]
 	if !known {
-		asked.first = c.now
+		t.first = c.now
 		c.noteArrival(j) // machines have to come for what is asked, not for what is accepted
 	}
-	asked.back = c.now + v.Return
-	c.admission.turned[sub.ID] = asked
+	t.back = c.now + v.Return
+	c.admission.turned[j.sub.ID] = t
 	c.count("job_turned_away_" + string(v.Reason))
-	return v
 }
 
 // measure looks at what the services have to do and can do.
@@ -113,43 +127,50 @@
 		return
 	}
 	a.measuredAt = c.now
-	for id, ad := range a.admitted {
-		if c.jobs[id] != nil || c.ended[id] || c.now-ad.at > admittedWithin {
-			delete(a.admitted, id)
-		}
-	}
-	for id, t := range a.turned {
-		if c.now-t.first > turnedKept {
-			delete(a.turned, id)
-		}
-	}
-	for id, at := range a.accepted {
-		if c.now-at > acceptedKept {
-			delete(a.accepted, id)
-		}
-	}
+	a.forget(c)
 	a.services = map[string]turnaway.Service{}
+	c.measureServers()
+	c.measureJobs()
+}
+
+// forget drops what no longer counts.
+func (a *admission) forget(c *Core) {
+	maps.DeleteFunc(a.admitted, func(id string, ad admitted) bool {
+		return c.jobs[id] != nil || c.ended[id] || c.now-ad.at > admittedWithin
+	})
+	maps.DeleteFunc(a.turned, func(_ string, t turned) bool { return c.now-t.first > turnedKept })
+	maps.DeleteFunc(a.accepted, func(_ string, at time.Duration) bool { return c.now-at > acceptedKept })
+}
+
+// measureServers counts the servers of each service that run tasks which end by themselves, and those that are on their way.
+func (c *Core) measureServers() {
+	services := c.admission.services
 	for _, s := range c.servers {
 		if c.usable(s) {
-			service := a.services[s.info.Service]
-			service.Servers += 1 - shareOf(standing(s), s.info.Room)
-			service.Free += 1 - shareOf(s.used, s.info.Room)
-			a.services[s.info.Service] = service
+			service := services[s.info.Service]
+			service.Servers += 1 - standing(s).ShareOf(s.info.Room)
+			service.Free += 1 - s.used.ShareOf(s.info.Room)
+			services[s.info.Service] = service
 			c.usualRoom = s.info.Room
 		}
 	}
-	for name, coming := range a.coming {
-		service := a.services[name]
+	for name, coming := range c.admission.coming {
+		service := services[name]
 		service.Coming, service.ComesIn = float64(coming.Servers), coming.In
-		a.services[name] = service
+		services[name] = service
 	}
+}
+
+// measureJobs adds up the work that waits at each service.
+func (c *Core) measureJobs() {
+	services := c.admission.services
 	for _, j := range c.jobs {
 		if j.cancelled || j.failed || j.sub.Spec.LongRunning() {
 			continue
 		}
 		late := c.candidate(j).rank.late()
 		name := c.serviceOf(j)
-		service := a.services[name]
+		service := services[name]
 		for _, o := range j.occurrences {
 			work, ready := c.waitingWork(o)
 			if late {
@@ -159,7 +180,7 @@
 			service.Backlog += work
 			service.Waiting += ready
 		}
-		a.services[name] = service
+		services[name] = service
 	}
 }
 
@@ -174,21 +195,6 @@
 	return r
 }
 
-// shareOf returns the share of a room that resources take, by the one of which they take most.
-func shareOf(r, room jobs.Resources) float64 {
-	share := 0.0
-	if room.CPU > 0 {
-		share = max(share, float64(r.CPU)/float64(room.CPU))
-	}
-	if room.MemoryMB > 0 {
-		share = max(share, float64(r.MemoryMB)/float64(room.MemoryMB))
-	}
-	if room.GPU > 0 {
-		share = max(share, float64(r.GPU)/float64(room.GPU))
-	}
-	return share
-}
-
 // waitingWork returns the work of the tasks of an occurrence that haven't begun, on one server, and the servers that those fill which could begin now.
 func (c *Core) waitingWork(o *occurrence) (work time.Duration, ready float64) {
 	for _, s := range o.steps {
@@ -198,7 +204,7 @@
 				waiting++
 			}
 		}
-		servers := waiting * shareOf(s.spec.Occupies(), c.usualRoom)
+		servers := waiting * s.spec.Occupies().ShareOf(c.usualRoom)
 		work += time.Duration(servers * c.taskMS(o.job, s.spec.EstimateMS) * float64(time.Millisecond))
 		if s.ready() {
 			ready += servers
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -22,7 +22,7 @@
 }
 
 const (
-	// clockRate is how slow a server's clock may be, from the platform's pages: 2%.
+	// clockRate is how slow a server's clock may be: 2%.
 	clockRate = 0.98
 	// leaseSlack covers rounding to whole milliseconds and late timers.
 	leaseSlack = 200 * time.Millisecond
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"example.org/comfreyrouter/jobs"
+)
 
 const (
 	// learnWeight is the weight of a new run time in a queue's mean.
@@ -15,7 +19,7 @@
 	marginLeast = 100 * time.Millisecond
 	// defaultTaskMS is taken for a task without a declared time, in milliseconds.
 	defaultTaskMS = 1000
-	// worthless is how many times its objective a job may take before its answer is of no use to the caller, by the users' pages.
+	// worthless is how many times its objective a job may take before its answer is of no use to the caller.
 	worthless = 3
 )
 
@@ -82,10 +86,10 @@
 	slack, margin, useful := time.Duration(1<<62), time.Duration(0), true
 	for _, o := range j.occurrences {
 		whole, left := c.chain(o)
-		objective := time.Duration(j.sub.SlackFactor*float64(whole)) + time.Duration(j.sub.TargetMS)*time.Millisecond
+		within := objective(j.sub, whole)
 		margin = max(margin, left/marginShare+marginLeast)
-		slack = min(slack, c.due(o)+objective-c.now-left)
-		useful = useful && c.now+left <= c.due(o)+worthless*objective
+		slack = min(slack, c.due(o)+within-c.now-left)
+		useful = useful && c.now+left <= c.due(o)+worthless*within
 	}
 	switch {
 	case !useful:
@@ -104,6 +108,11 @@
 	return candidate{j, rankOnTime, slack}
 }
 
+// objective returns within which time a job has to be done, if its longest chain of steps takes whole.
+func objective(sub *jobs.Submission, whole time.Duration) time.Duration {
+	return time.Duration(sub.SlackFactor*float64(whole)) + jobs.Since(sub.TargetMS)
+}
+
 // due returns when an occurrence was due.
 func (c *Core) due(o *occurrence) time.Duration {
 	spec := o.job.sub.Spec
--- a/jobnode/settings.go
+++ b/jobnode/settings.go
@@ -40,7 +40,7 @@
 	KeepFinished time.Duration `yaml:"keep_finished"` // how long the end of a job is known
 }
 
-// DefaultSettings returns the settings that may be left out, with the bounds of the platform's pages.
+// DefaultSettings returns the settings that may be left out, with the usual bounds of the platform.
 func DefaultSettings() Settings {
 	return Settings{LogLevel: "info", Cores: 1, MachineOrders: 64, DirectServers: 100, DirectNodes: 30, Bounds: Bounds{
 		RevokeWithin: 5 * time.Second, LeaseMost: 6 * time.Second, Grace: 6 * time.Second, Early: 250 * time.Millisecond,
--- a/jobs/validate.go
+++ b/jobs/validate.go
@@ -6,7 +6,7 @@
 const (
 	maxSteps       = 64
 	maxTasks       = 20_000 // of all steps
-	maxTextBytes   = 4_000  // from the platform's pages
+	maxTextBytes   = 4_000  // the platform takes no more
 	maxOccurrences = 5_000  // the progress of all has to fit into one record of 256 KB
 	idLength       = 16     // hexadecimal digits
 )
--- a/pooling/pooling.go
+++ b/pooling/pooling.go
@@ -250,19 +250,7 @@
 }
 
 // wanted returns how many machines a need fills.
-func wanted(need, room jobs.Resources) int {
-	n := 0.0
-	if room.CPU > 0 {
-		n = max(n, float64(need.CPU)/float64(room.CPU))
-	}
-	if room.MemoryMB > 0 {
-		n = max(n, float64(need.MemoryMB)/float64(room.MemoryMB))
-	}
-	if room.GPU > 0 {
-		n = max(n, float64(need.GPU)/float64(room.GPU))
-	}
-	return int(math.Ceil(n * headroom))
-}
+func wanted(need, room jobs.Resources) int { return int(math.Ceil(need.ShareOf(room) * headroom)) }
 
 // ordered returns the pools that need machines, the neediest first.
 func ordered(states map[string]*state) []*state {
