--- a/jobnode/asking_test.go
+++ b/jobnode/asking_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +20,7 @@
 	"example.org/comfreyrouter/jobs"
 	"example.org/comfreyrouter/ledger"
 	"example.org/comfreyrouter/platform"
+	"example.org/comfreyrouter/relay"
 )
 
 // TestManyNodesShareTheWork guards against jobs that are lost or run twice when orders and records go through other nodes, also while the node that
@@ -112,3 +115,46 @@
 	f.ledger = ledger.New() // the job has come to the core, and the record isn't read again yet
 	assert.Empty(t, d.marks([]ledger.Record{submit(running)}))
 }
+
+// TestRelaysAreChosenBeforeServersAreAsked guards against a new dispatcher that calls all servers itself at once, on a connection for each, before it
+// has looked which nodes carry its orders: the dispatcher of 2,999 servers had 2,634 connections.
+func TestRelaysAreChosenBeforeServersAreAsked(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 6)
+	var direct, all atomic.Int64
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		assert.NoError(t, relay.Serve(ctx, listener, counting{platform.NewServers(), &all}, nil, zerolog.Nop()))
+	}()
+	defer cancel()
+	follower := newFollower(platform.NewStore(f.address.String()), zerolog.Nop())
+	now := time.Now().UnixMilli()
+	follower.ledger.Nodes["relay"] = ledger.Node{Address: listener.Addr().String(), AtMS: now}
+	l := ledger.New()
+	for i, s := range f.servers {
+		l.Servers[s.ID] = ledger.Server{Service: "pool", Address: f.addresses[i]}
+	}
+	d := &dispatcher{
+		node: &Node{settings: DefaultSettings()}, log: zerolog.Nop(), cancel: cancel, follower: follower, asking: map[string]bool{},
+		servers: relay.NewFleet(counting{platform.NewServers(), &direct}, zerolog.Nop()), renewed: boottime.Now(), wake: make(chan struct{}, 1),
+		core: dispatch.New(dispatch.Params{Epoch: 99, Lease: time.Second}, l, &jobs.Configuration{}, boottime.Now(), now), place: ledger.Dispatcher{Epoch: 99},
+	}
+	defer d.servers.Close()
+	d.node.settings.DirectServers = 0
+	d.askServers(ctx)
+	require.Eventually(t, func() bool { return all.Load() >= int64(len(f.servers)) }, eventually, lookEvery)
+	assert.Zero(t, direct.Load())
+}
+
+// counting counts the renewals of a carrier.
+type counting struct {
+	relay.Carrier
+	renewals *atomic.Int64
+}
+
+func (c counting) Renew(ctx context.Context, server jobs.Server, r platform.Renewal) (jobs.Report, platform.RenewalResult) {
+	c.renewals.Add(1)
+	return c.Carrier.Renew(ctx, server, r)
+}
--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -92,7 +92,7 @@
 	defer n.admission.current.Store(nil)
 	var wg sync.WaitGroup
 	for name, work := range map[string]func(context.Context){
-		"servers": d.followServers, "relays": d.chooseRelays, "records": d.storeBatches, "schedule": d.schedule, "policies": d.askPolicies,
+		"servers": d.followServers, "relays": d.keepRelays, "records": d.storeBatches, "schedule": d.schedule, "policies": d.askPolicies,
 		"machines": d.keepMachines, "state": d.reportState,
 	} {
 		wg.Go(func() { d.guard(name, func() { work(ctx) }) })
@@ -235,8 +235,10 @@
 	})
 }
 
-// askServers begins to ask servers that aren't asked yet.
+// askServers begins to ask servers that aren't asked yet. Relays are chosen first: hundreds of direct calls at the begin of a dispatcher take as many
+// new connections, and the time in which it should take over.
 func (d *dispatcher) askServers(ctx context.Context) {
+	d.chooseRelays()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, id := range d.core.Servers() {
--- a/jobnode/fleet_test.go
+++ b/jobnode/fleet_test.go
@@ -41,6 +41,8 @@
 	// policies is the service of the queues' policies, if there is one.
 	policies netip.AddrPort
 	servers  []*taskserver.Server
+	// addresses are those of the servers.
+	addresses []string
 	// large makes few nodes and servers work as many do: orders and records go through other nodes.
 	large bool
 }
@@ -51,7 +53,9 @@
 	f.address = f.serve(f.store)
 	for i := range servers {
 		s := taskserver.New(fmt.Sprintf("s%d", i), 200*time.Millisecond)
-		f.store.Put(platform.TopicServers, s.ID, s.Entry("pool", f.serve(s).String()))
+		address := f.serve(s).String()
+		f.store.Put(platform.TopicServers, s.ID, s.Entry("pool", address))
+		f.addresses = append(f.addresses, address)
 		f.servers = append(f.servers, s)
 	}
 	f.configure(1, testKey)
--- a/jobnode/relays.go
+++ b/jobnode/relays.go
@@ -13,24 +13,25 @@
 // relaysPause is the pause between two looks at which nodes may carry orders.
 const relaysPause = 500 * time.Millisecond
 
-// chooseRelays says which nodes carry this dispatcher's orders, until ctx ends.
-func (d *dispatcher) chooseRelays(ctx context.Context) {
-	var last []relay.Member
+// keepRelays says which nodes carry this dispatcher's orders, until ctx ends.
+func (d *dispatcher) keepRelays(ctx context.Context) {
 	for ; ctx.Err() == nil; sleep(ctx, relaysPause) {
-		d.mu.Lock()
-		servers := len(d.core.Servers())
-		d.mu.Unlock()
-		var members []relay.Member
-		if servers > d.node.settings.DirectServers { // fewer are called directly, since a hop less is faster
-			d.follower.mu.Lock()
-			members = relayMembers(d.follower.ledger.Nodes, d.node.settings.Name, time.Now().Add(-absentAfter).UnixMilli())
-			d.follower.mu.Unlock()
-		}
-		if !slices.Equal(members, last) {
-			d.servers.SetMembers(members)
-			last = members
-		}
+		d.chooseRelays()
+	}
+}
+
+// chooseRelays says which nodes carry this dispatcher's orders now: none up to a number of servers, since a hop less is faster.
+func (d *dispatcher) chooseRelays() {
+	d.mu.Lock()
+	servers := len(d.core.Servers())
+	d.mu.Unlock()
+	var members []relay.Member
+	if servers > d.node.settings.DirectServers {
+		d.follower.mu.Lock()
+		members = relayMembers(d.follower.ledger.Nodes, d.node.settings.Name, time.Now().Add(-absentAfter).UnixMilli())
+		d.follower.mu.Unlock()
 	}
+	d.servers.SetMembers(members)
 }
 
 // relayMembers returns the nodes that may carry orders of the node own: those that listen, aren't stopping and have said so since a time.
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,7 +33,7 @@
 func (f *Fleet) SetMembers(members []Member) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.closed {
+	if f.closed || slices.Equal(members, f.members) {
 		return
 	}
 	f.members = members
