Simplify the choice of a relay, keep one spread of callers, and split the loop that stores

jobnode/admit.go had its own copy of turnaway's spread; Fleet.link kept names beside links; storeBatches had grown to forty lines. No behaviour changes.

--- a/jobnode/admit.go
+++ b/jobnode/admit.go
@@ -1,10 +1,10 @@
 package jobnode
 
 import (
-	"hash/fnv"
 	"time"
 
 	"example.org/comfreyrouter/errkind"
+	"example.org/comfreyrouter/turnaway"
 )
 
 const (
@@ -21,10 +21,7 @@
 	if open < maxOpenJobs {
 		return nil
 	}
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(id)) // a hash takes every write
-	spread := time.Duration(h.Sum32()%uint32(returnSpread/time.Millisecond)) * time.Millisecond
-	return &retryLater{errkind.New(errkind.QueueFull, "%d jobs have not ended", open), returnLeast + spread}
+	return &retryLater{errkind.New(errkind.QueueFull, "%d jobs have not ended", open), returnLeast + turnaway.Spread(id, returnSpread)}
 }
 
 // retryLater is a refusal that knows when it is worth to come back.
--- a/jobnode/batches.go
+++ b/jobnode/batches.go
@@ -105,24 +105,13 @@
 	defer d.closePuts()
 	var last time.Duration
 	for ctx.Err() == nil {
-		puts := d.takePuts()
-		d.mu.Lock()
-		batch := d.core.TakeBatch()
-		d.mu.Unlock()
+		batch, puts := d.nextBatch()
 		due := boottime.Now()-last >= renewEvery
-		for _, p := range puts {
-			batch.Records = append(append(batch.Records, p.records...), d.marks(p.records)...)
-		}
-		if len(batch.Records) == 0 && !due {
-			d.stored(batch)
-			sleep(ctx, storePause)
-			continue
-		}
 		if due {
 			batch.Records = append(batch.Records, ledger.DispatcherRecord(d.present()))
 			last = boottime.Now()
 		}
-		if !d.append(ctx, batch.Records) {
+		if len(batch.Records) > 0 && !d.append(ctx, batch.Records) {
 			answerPuts(puts, PutUnknown)
 			return
 		}
@@ -136,6 +125,18 @@
 	}
 }
 
+// nextBatch returns what was decided since the last batch, with the records that other nodes wait for.
+func (d *dispatcher) nextBatch() (dispatch.Batch, []put) {
+	puts := d.takePuts()
+	d.mu.Lock()
+	batch := d.core.TakeBatch()
+	d.mu.Unlock()
+	for _, p := range puts {
+		batch.Records = append(append(batch.Records, p.records...), d.marks(p.records)...)
+	}
+	return batch, puts
+}
+
 func (d *dispatcher) stored(b dispatch.Batch) {
 	d.mu.Lock()
 	startable := d.core.Stored(b)
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -12,21 +12,22 @@
 }
 
 // Choose returns the relay of a server: by weighted rendezvous hashing, so that a node that comes or goes moves only its own servers, and among
-// the nodes of the server's data centre if there are any, so that reports cross between data centres only once and in short form. It returns
-// an empty name if there are no members.
-func Choose(members []Member, server, dataCentre string) string {
-	best, bestScore, near := "", math.Inf(-1), false
+// the nodes of the server's data centre if there are any, so that reports cross between data centres only once and in short form. It reports
+// false if there are no members.
+func Choose(members []Member, server, dataCentre string) (Member, bool) {
+	var best Member
+	bestScore, near := math.Inf(-1), false
 	for _, m := range members {
 		inside := m.DataCentre == dataCentre
 		if near && !inside {
 			continue
 		}
 		score := m.score(server)
-		if inside && !near || score > bestScore || score == bestScore && m.Name < best {
-			best, bestScore, near = m.Name, score, inside
+		if inside && !near || score > bestScore || score == bestScore && m.Name < best.Name {
+			best, bestScore, near = m, score, inside
 		}
 	}
-	return best
+	return best, len(members) > 0
 }
 
 // score is the member's draw for a server; the highest one wins, with chances in proportion to the members' processors.
--- a/relay/choose_test.go
+++ b/relay/choose_test.go
@@ -15,6 +15,12 @@
 	return all
 }
 
+// chosen returns the name of a server's relay.
+func chosen(members []Member, server, dataCentre string) string {
+	m, _ := Choose(members, server, dataCentre)
+	return m.Name
+}
+
 // TestRelaysAreNear guards against reports that cross between data centres although a node of the server's own one could fetch them.
 func TestRelaysAreNear(t *testing.T) {
 	all := members(12)
@@ -26,10 +32,11 @@
 				near = append(near, m)
 			}
 		}
-		assert.Equal(t, Choose(near, server, ""), Choose(all, server, place))
+		assert.Equal(t, chosen(near, server, ""), chosen(all, server, place))
 	}
-	assert.NotEmpty(t, Choose(all, "i-1", "elsewhere"), "any relay is better than none")
-	assert.Empty(t, Choose(nil, "i-1", "dc0"))
+	assert.NotEmpty(t, chosen(all, "i-1", "elsewhere"), "any relay is better than none")
+	_, found := Choose(nil, "i-1", "dc0")
+	assert.False(t, found)
 }
 
 // TestALeavingRelayMovesOnlyItsOwnServers guards against new connections to all servers whenever one node comes or goes.
@@ -37,8 +44,8 @@
 	all := members(12)
 	for i := range 500 {
 		server := fmt.Sprintf("i-%d", i)
-		if before := Choose(all, server, ""); before != all[0].Name {
-			assert.Equal(t, before, Choose(all[1:], server, ""))
+		if before := chosen(all, server, ""); before != all[0].Name {
+			assert.Equal(t, before, chosen(all[1:], server, ""))
 		}
 	}
 }
@@ -50,7 +57,7 @@
 	counts := map[string]int{}
 	const servers = 13000
 	for i := range servers {
-		counts[Choose(all, fmt.Sprintf("i-%d", i), "")]++
+		counts[chosen(all, fmt.Sprintf("i-%d", i), "")]++
 	}
 	assert.InEpsilon(t, servers*4/13, counts[all[0].Name], 0.1)
 	for _, m := range all[1:] {
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -19,14 +19,14 @@
 
 	mu      sync.Mutex
 	members []Member
-	links   map[string]*Link  // by the relay's name
-	chosen  map[string]string // by server: the relay that carries its orders; empty for none
+	links   map[string]*Link // by the relay's name
+	chosen  map[string]*Link // by server: to the relay that carries its orders
 	closed  bool
 }
 
 // NewFleet returns a fleet without relays.
 func NewFleet(own Carrier, log zerolog.Logger) *Fleet {
-	return &Fleet{own: own, log: log, links: map[string]*Link{}, chosen: map[string]string{}}
+	return &Fleet{own: own, log: log, links: map[string]*Link{}, chosen: map[string]*Link{}}
 }
 
 // SetMembers says which nodes may be relays.
@@ -67,25 +67,19 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	name, known := f.chosen[server.ID]
-	if l := f.links[name]; !known || l != nil && !l.Usable(now) {
-		name = Choose(f.working(now), server.ID, server.DataCentre)
-		f.chosen[server.ID] = name
+	if l := f.chosen[server.ID]; l != nil && l.Usable(now) {
+		return l
 	}
-	if name == "" {
-		delete(f.chosen, server.ID) // a relay may work again at the next order
+	m, found := Choose(f.working(now), server.ID, server.DataCentre)
+	if !found {
+		delete(f.chosen, server.ID)
 		return nil
 	}
-	if l := f.links[name]; l != nil {
-		return l
-	}
-	for _, m := range f.members {
-		if m.Name == name {
-			f.links[name] = NewLink(m.Name, m.Address, f.log)
-			return f.links[name]
-		}
+	if f.links[m.Name] == nil {
+		f.links[m.Name] = NewLink(m.Name, m.Address, f.log)
 	}
-	return nil
+	f.chosen[server.ID] = f.links[m.Name]
+	return f.links[m.Name]
 }
 
 // working returns the members that haven't failed a moment ago. The lock must be held.
--- a/turnaway/turnaway.go
+++ b/turnaway/turnaway.go
@@ -112,12 +112,12 @@
 
 // returnAfter returns when a caller should come back if there is room after a time.
 func returnAfter(room time.Duration, id string) time.Duration {
-	return min(max(room, returnLeast), returnMost) + spread(id)
+	return min(max(room, returnLeast), returnMost) + Spread(id, returnSpread)
 }
 
-// spread returns by how much later a caller comes, so that those who were turned away together don't come back together.
-func spread(id string) time.Duration {
+// Spread returns by how much later a caller comes, so that those who were turned away together don't come back together.
+func Spread(id string, over time.Duration) time.Duration {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id)) // a hash takes every write
-	return time.Duration(h.Sum32()%uint32(returnSpread/time.Millisecond)) * time.Millisecond
+	return time.Duration(h.Sum32()%uint32(over/time.Millisecond)) * time.Millisecond
 }
