--- a/jobnode/batches.go
+++ b/jobnode/batches.go
@@ -15,8 +15,8 @@
 // putPause is the pause between two appends while other nodes wait for them.
 const putPause = 15 * time.Millisecond
 
-// marks returns the records that new jobs may have been started, if these start soon, so that they needn't wait for an append of their own. A job that is known has
-// progress, which they must not replace; all progress is stored by this goroutine.
+// marks returns the records that new jobs may have been started, if these start soon, so that they needn't wait for an append of their own. A job
+// that is known has progress, which they must not replace; all progress is stored by this goroutine.
 func (d *dispatcher) marks(records []ledger.Record) []ledger.Record {
 	var marks []ledger.Record
 	for _, r := range records {
