Announce a round's machine orders together, and send none that has waited

The platform takes 590 orders a second there, so a round has up to 265; each looked by itself whether its record was in the ledger, 250 times a second. Ruled out: the platform's rate (answers are ours), appends (45 to 58 ms through it all), a change of the dispatcher (none).

Found beside it: an order could wait up to 1.5 s for one of two connections after its permission was checked, longer than a successor allows for. Orders take turns on eight connections, and each is checked right before its call (the test fails without that).

--- a/jobnode/machines.go
+++ b/jobnode/machines.go
@@ -107,20 +107,26 @@
 	return max(pause, listPause*k.listTook)
 }
 
-// announce stores that this dispatcher orders a machine, and reports whether it may. A machine that a former dispatcher has ordered a
-// moment ago has to wait: two holders must not order one machine by turns.
-func (k *keeper) announce(ctx context.Context, machine string) bool {
-	if !k.quiet(machine) {
-		return false
-	}
+// announce stores that this dispatcher orders machines, and returns those that it may order. A machine that a former dispatcher has ordered a moment
+// ago has to wait: two holders must not order one machine by turns. All machines of a round are waited for together, since hundreds of waits of
+// their own use up the processor that reads the ledger.
+func (k *keeper) announce(ctx context.Context, machines []string) map[string]bool {
 	order := ledger.MachineOrder{Epoch: k.place.Epoch, AtMS: time.Now().UnixMilli()}
-	k.update(func(c *dispatch.Core) { c.Store(ledger.MachineRecord(machine, order)) })
-	for deadline := boottime.Now() + announceTimeout; boottime.Now() < deadline && ctx.Err() == nil; sleep(ctx, announcePause) {
-		if o, ok := k.lastOrder(machine); ok && o == order {
-			return true
+	waiting := slices.DeleteFunc(slices.Clone(machines), func(machine string) bool { return !k.quiet(machine) })
+	k.update(func(c *dispatch.Core) {
+		for _, machine := range waiting {
+			c.Store(ledger.MachineRecord(machine, order))
 		}
+	})
+	announced := map[string]bool{}
+	for deadline := boottime.Now() + announceTimeout; len(waiting) > 0 && boottime.Now() < deadline && ctx.Err() == nil; sleep(ctx, announcePause) {
+		waiting = slices.DeleteFunc(waiting, func(machine string) bool {
+			o, ok := k.lastOrder(machine)
+			announced[machine] = ok && o == order
+			return announced[machine]
+		})
 	}
-	return false
+	return announced
 }
 
 // quiet reports whether no former dispatcher can have ordered a machine within the time in which holders must not take turns.
@@ -204,12 +210,41 @@
 		moves = append(moves, planned...)
 		orders = append(orders, k.planUpkeep(c, machines, budget-len(planned))...)
 	})
+	k.send(ctx, moves, orders, servers)
+}
+
+// send orders moves and upkeep, once it is stored that this dispatcher orders those machines.
+func (k *keeper) send(ctx context.Context, moves []pooling.Move, orders []upkeep.Action, servers map[string]string) {
+	var machines []string
+	for _, m := range moves {
+		machines = append(machines, m.Machine)
+	}
+	for _, a := range orders {
+		machines = append(machines, a.Machine)
+	}
+	if len(machines) == 0 {
+		return
+	}
+	begun := boottime.Now()
+	announced := k.announce(ctx, machines)
+	// An order that waited for a free connection would go out when a successor may have ordered the machine.
+	calls := make(chan struct{}, platform.MachineCalls)
+	may := func(machine string) bool {
+		return announced[machine] && boottime.Now()-begun < turnMargin && k.holdsPlace()
+	}
 	var wg sync.WaitGroup
+	run := func(call func()) {
+		wg.Go(func() {
+			calls <- struct{}{}
+			defer func() { <-calls }()
+			call()
+		})
+	}
 	for _, m := range moves {
-		wg.Go(func() { k.move(ctx, m, servers[m.Machine]) })
+		run(func() { k.move(ctx, m, servers[m.Machine], may(m.Machine)) })
 	}
 	for _, a := range orders {
-		wg.Go(func() { k.order(ctx, a) })
+		run(func() { k.order(ctx, a, may(a.Machine)) })
 	}
 	wg.Wait()
 }
@@ -349,10 +384,10 @@
 	return out
 }
 
-// move orders a move.
-func (k *keeper) move(ctx context.Context, m pooling.Move, server string) {
+// move orders a move, if it may. Otherwise it is planned again.
+func (k *keeper) move(ctx context.Context, m pooling.Move, server string, may bool) {
 	result := platform.OrderRefused
-	if k.announce(ctx, m.Machine) && k.holdsPlace() {
+	if may {
 		result = k.node.machines.Move(ctx, k.node.settings.Name, k.place.Epoch, m.Machine, m.To)
 	}
 	events.Log(k.log, events.MoveOrdered, m.Machine, server, m.From, m.To, int(result))
@@ -382,10 +417,10 @@
 	return boottime.Now()-d.renewed < tenure
 }
 
-// order orders the upkeep of a machine.
-func (k *keeper) order(ctx context.Context, a upkeep.Action) {
+// order orders the upkeep of a machine, if it may. Otherwise it is planned again.
+func (k *keeper) order(ctx context.Context, a upkeep.Action, may bool) {
 	result := platform.OrderRefused
-	if k.holdsPlace() && k.announce(ctx, a.Machine) && k.holdsPlace() {
+	if may {
 		result = k.node.machines.Upkeep(ctx, k.node.settings.Name, k.place.Epoch, a.Machine, a.Wave)
 	}
 	events.Log(k.log, events.UpkeepOrdered, a.Machine, a.Server, a.Wave, int(result))
--- a/jobnode/machines_test.go
+++ b/jobnode/machines_test.go
@@ -1,14 +1,24 @@
 package jobnode
 
 import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 
+	"example.org/comfreyrouter/dispatch"
 	"example.org/comfreyrouter/internal/boottime"
+	"example.org/comfreyrouter/jobs"
 	"example.org/comfreyrouter/ledger"
+	"example.org/comfreyrouter/platform"
+	"example.org/comfreyrouter/pooling"
+	"example.org/comfreyrouter/upkeep"
 )
 
 // TestTwoHoldersDoNotTakeTurns guards against two dispatchers that order one machine by turns within the time in which holders must not, and
@@ -50,3 +60,73 @@
 	assert.Equal(t, 1, movesOf(1, true), "a move at a time goes on")
 	assert.Zero(t, movesOf(0, true))
 }
+
+// announcing returns a keeper whose records are in the ledger some milliseconds after they were decided, and which orders machines at an address.
+func announcing(t *testing.T, address string) *keeper {
+	t.Helper()
+	follower := newFollower(nil, zerolog.Nop())
+	settings := DefaultSettings()
+	d := &dispatcher{
+		node: &Node{settings: settings, machines: platform.NewMachines(address)}, log: zerolog.Nop(), place: ledger.Dispatcher{Epoch: 2}, follower: follower,
+		acquired: boottime.Now() - time.Hour, renewed: boottime.Now() + time.Hour,
+		core: dispatch.New(dispatch.Params{Epoch: 2}, ledger.New(), &jobs.Configuration{}, boottime.Now(), 0),
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go func() {
+		for ; ctx.Err() == nil; sleep(ctx, 10*time.Millisecond) {
+			d.mu.Lock()
+			batch := d.core.TakeBatch()
+			d.mu.Unlock()
+			follower.mu.Lock()
+			for _, r := range batch.Records {
+				_, _, err := follower.ledger.Apply(r, 1)
+				assert.NoError(t, err)
+			}
+			follower.mu.Unlock()
+		}
+	}()
+	return &keeper{dispatcher: d, planner: upkeep.New(time.Second), pools: pooling.New(), repeats: map[string]pooling.Move{}, ending: map[string]ending{}}
+}
+
+func movesTo(n int) []pooling.Move {
+	var moves []pooling.Move
+	for i := range n {
+		moves = append(moves, pooling.Move{Machine: fmt.Sprintf("m%d", i), From: "a", To: "b"})
+	}
+	return moves
+}
+
+// TestARoundOfHundredsOfMovesIsAnnounced guards against a round that is so large that none of its orders goes out: each of 265 orders looked by itself
+// whether its record was in the ledger, 250 times a second, and for five seconds of a turn no machine moved (scale-2 of the large site).
+func TestARoundOfHundredsOfMovesIsAnnounced(t *testing.T) {
+	t.Parallel()
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+	defer server.Close()
+	k := announcing(t, server.Listener.Addr().String())
+	k.send(t.Context(), movesTo(300), nil, map[string]string{})
+	assert.EqualValues(t, 300, calls.Load())
+}
+
+// TestAnOrderThatWaitedTooLongIsNotSent guards against an order that goes out when its holder may have been replaced, and the successor may have ordered
+// the machine: it waits for a connection while the platform answers slowly.
+func TestAnOrderThatWaitedTooLongIsNotSent(t *testing.T) {
+	t.Parallel()
+	var late, calls atomic.Int64
+	begin := time.Now()
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		if time.Since(begin) > turnMargin+300*time.Millisecond {
+			late.Add(1)
+		}
+		time.Sleep(500 * time.Millisecond)
+	}))
+	defer server.Close()
+	k := announcing(t, server.Listener.Addr().String())
+	k.send(t.Context(), movesTo(60), nil, map[string]string{})
+	assert.Zero(t, late.Load())
+	assert.GreaterOrEqual(t, calls.Load(), int64(platform.MachineCalls))
+	assert.Less(t, calls.Load(), int64(60))
+	assert.Len(t, k.ending, 0, "no server was on these machines")
+}
