Notice machines that are cut off within a second

Change: a known server is unreachable once it is unresponsive and silent for 0.7 s, longer than one lost renewal takes. The time in which a server may be missing from the list counts from when its machine was first listed. The type sighting is listing.

--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -116,10 +116,17 @@
 	}
 }
 
-// Reachable reports whether a server is known and has answered its last renewal, or hasn't been sent one yet.
-func (c *Core) Reachable(server string) bool {
+// unreachableAfter is the silence after which an unresponsive server counts as unreachable. A single lost renewal causes a shorter one: the wait and
+// the timeout of the renewal, and the delay before the next.
+const unreachableAfter = 700 * time.Millisecond
+
+// Reachable reports whether a server is known, and whether it has answered recently. A server that hasn't been asked yet counts as reachable.
+func (c *Core) Reachable(server string) (known, reachable bool) {
 	s := c.servers[server]
-	return s != nil && !s.unresponsive
+	if s == nil {
+		return false, false
+	}
+	return true, !s.unresponsive || s.recvAt > 0 && c.now-s.recvAt < unreachableAfter
 }
 
 // Idle reports whether a server has no runs, and since how long. A server that hasn't reported yet, or that has listed ends which aren't stored yet,
--- a/jobnode/machines.go
+++ b/jobnode/machines.go
@@ -65,8 +65,8 @@
 	terminating     map[string]termination    // servers whose machine has an accepted order, until the list shows whether it took effect; by machine
 	listDuration    time.Duration             // of the last read of the machine list
 	reads           dependencyLog
-	firstListed     map[string]sighting // when each machine was first listed with its current server
-	tokens          float64             // orders that the platform accepts now
+	firstListed     map[string]listing // when each machine was first listed with its current server
+	tokens          float64            // orders that the platform accepts now
 	tokensAt        time.Duration
 	mu              sync.Mutex // guards what the answers to orders change
 	fenced          bool       // the platform has refused an order, because another holder has used a higher fencing token
@@ -80,7 +80,7 @@
 	mc := &machineController{
 		dispatcher: d, upkeepPlanner: upkeep.New(d.node.settings.Bounds.UpkeepDuration), autoscaler: autoscale.New(),
 		reads: dependencyLog{name: "list of machines", log: d.log}, unansweredMoves: map[string]autoscale.Move{},
-		firstListed: map[string]sighting{}, reportedWaves: map[int64]string{}, terminating: map[string]termination{},
+		firstListed: map[string]listing{}, reportedWaves: map[int64]string{}, terminating: map[string]termination{},
 	}
 	for ctx.Err() == nil && !mc.fenced {
 		mc.upkeepPlanner.AddWaves(d.operators.allWaves(), mc.storedWave)
@@ -353,18 +353,22 @@
 	return pools
 }
 
-// recentlyUp reports whether a machine came up so recently that its server may not be listed yet.
-func (mc *machineController) recentlyUp(m jobs.Machine) bool {
-	now := boottime.Now()
-	if seen, ok := mc.firstListed[m.ID]; !ok || seen.server != m.Server {
-		mc.firstListed[m.ID] = sighting{m.Server, now}
-		return true
-	}
-	return now-mc.firstListed[m.ID].at < serverListingTimeout
+// unreachable reports whether the server of a machine that is up doesn't answer, or isn't listed although the machine has been up for a while.
+func (mc *machineController) unreachable(c *dispatch.Core, m jobs.Machine) bool {
+	listed, ok := mc.firstListed[m.ID]
+	if !ok || listed.server != m.Server {
+		listed = listing{m.Server, boottime.Now()}
+		mc.firstListed[m.ID] = listed
+	}
+	known, reachable := c.Reachable(m.Server)
+	if known {
+		return !reachable
+	}
+	return boottime.Now()-listed.at > serverListingTimeout
 }
 
-// sighting records when a machine was first listed with a server.
-type sighting struct {
+// listing records when this dispatcher first saw a machine listed with a server.
+type listing struct {
 	server string
 	at     time.Duration
 }
@@ -372,14 +376,13 @@
 func (mc *machineController) moveCandidates(c *dispatch.Core, machines []jobs.Machine) []autoscale.Machine {
 	out := make([]autoscale.Machine, 0, len(machines))
 	config := mc.operators.view().config
-	serversListed := boottime.Now()-mc.acquiredAt > serverListingTimeout
 	for _, m := range machines {
 		empty, idle := c.Idle(m.Server)
 		_, unanswered := mc.unansweredMoves[m.ID]
 		_, terminating := mc.terminating[m.ID]
 		out = append(out, autoscale.Machine{
 			ID: m.ID, Pool: m.Pool, Up: m.Up, Capacity: m.Capacity, Empty: empty, IdleFor: idle, Locked: unanswered || terminating || mc.upkeepPlanner.InProgress(m.ID) || !mc.handoverElapsed(m.ID),
-			Tasks: c.ShortTaskCount(m.Server), LongRunning: c.LongRunningTaskCount(m.Server) > 0, DataCentre: m.DataCentre, Unreachable: m.Up && !c.Reachable(m.Server) && serversListed && !config.Services[m.Pool].Spare && !mc.recentlyUp(m),
+			Tasks: c.ShortTaskCount(m.Server), LongRunning: c.LongRunningTaskCount(m.Server) > 0, DataCentre: m.DataCentre, Unreachable: m.Up && !config.Services[m.Pool].Spare && mc.unreachable(c, m),
 		})
 	}
 	return out
--- a/jobnode/machines_test.go
+++ b/jobnode/machines_test.go
@@ -87,7 +87,38 @@
 			follower.mu.Unlock()
 		}
 	}()
-	return &machineController{dispatcher: d, upkeepPlanner: upkeep.New(time.Second), autoscaler: autoscale.New(), unansweredMoves: map[string]autoscale.Move{}, terminating: map[string]termination{}}
+	return &machineController{dispatcher: d, upkeepPlanner: upkeep.New(time.Second), autoscaler: autoscale.New(), unansweredMoves: map[string]autoscale.Move{}, firstListed: map[string]listing{}, terminating: map[string]termination{}}
+}
+
+// TestSilentServersAreUnreachable guards against planning with machines that are cut off: in scenario trouble-2 of chirigue-sched a data centre was cut
+// off at 33.5 s, and its machines counted as capacity until 38.6 s, because the time in which a new server may be missing from the list began only when
+// its silence was noticed. It also guards against replacing machines because of a single lost renewal.
+func TestSilentServersAreUnreachable(t *testing.T) {
+	mc := newTestController(t, "")
+	c, now := mc.core, boottime.Now()
+	machine := jobs.Machine{ID: "m", Pool: "pool", Server: "s", Up: true}
+	c.Advance(now, 0, true)
+	c.ServerListed(jobs.Server{ID: "s", Service: "pool", Machine: "m", Ready: true, BornMS: 1})
+	assert.False(t, mc.unreachable(c, machine), "not asked yet")
+	c.ReportReceived("s", now, jobs.Report{ClockMS: 1, BornMS: 1})
+	assert.False(t, mc.unreachable(c, machine))
+	c.Advance(now+400*time.Millisecond, 0, true)
+	c.RenewalUnanswered("s", now+50*time.Millisecond, 350*time.Millisecond)
+	assert.False(t, mc.unreachable(c, machine), "one renewal was lost")
+	c.Advance(now+800*time.Millisecond, 0, true)
+	c.RenewalUnanswered("s", now+550*time.Millisecond, 200*time.Millisecond)
+	assert.True(t, mc.unreachable(c, machine), "no answer for 0.8 s")
+}
+
+// TestUnlistedServersAreUnreachable guards against replacing a machine that has just come up, and against counting one whose server never appears.
+func TestUnlistedServersAreUnreachable(t *testing.T) {
+	mc := newTestController(t, "")
+	machine := jobs.Machine{ID: "m", Pool: "pool", Server: "s", Up: true}
+	assert.False(t, mc.unreachable(mc.core, machine))
+	mc.firstListed["m"] = listing{"s", boottime.Now() - serverListingTimeout - time.Millisecond}
+	assert.True(t, mc.unreachable(mc.core, machine))
+	machine.Server = "new"
+	assert.False(t, mc.unreachable(mc.core, machine), "the machine has a new server")
 }
 
 func testMoves(n int) []autoscale.Move {
