Let the history of the demand resume after a lull

Change: a stamp is compared with the present time of the node in place of the newest stamp. Measured: forecast.TestHistoryResumesAfterALull fails with the former comparison.

--- a/forecast/forecast.go
+++ b/forecast/forecast.go
@@ -41,7 +41,7 @@
 // History holds the work that arrived recently.
 type History struct {
 	bins  map[int64]bin // by Unix time in units of binMS
-	first int64         // bin at which the search for peaks begins; 0 if no job was added yet
+	first int64         // oldest bin, at which the search for peaks begins; 0 if no job was added yet
 	last  int64         // newest bin
 }
 
@@ -58,17 +58,18 @@
 	return work
 }
 
-// Add adds a job that was submitted at a Unix time in milliseconds. Long-running and scheduled jobs are ignored, since they tell nothing about peaks.
-func (h *History) Add(service string, atMS int64, spec *jobs.Spec) {
+// Add adds a job that was submitted at a Unix time in milliseconds, as stamped by the node that took it. Long-running and scheduled jobs are ignored,
+// since they tell nothing about peaks, and so are jobs whose stamp is further from the present time than the history goes.
+func (h *History) Add(service string, atMS, nowMS int64, spec *jobs.Spec) {
 	if spec.LongRunning() || spec.Scheduled() {
 		return
 	}
-	k := atMS / binMS
-	switch {
-	case h.first == 0:
-		h.first, h.last = k, k
-	case k <= h.last-historyBins || k > h.last+historyBins:
-		return // the clock that stamped the job is far off
+	k, now := atMS/binMS, nowMS/binMS
+	if k <= max(h.last, now)-historyBins || k > now+historyBins {
+		return
+	}
+	if h.first == 0 || k < h.first {
+		h.first = k
 	}
 	h.last = max(h.last, k)
 	b := h.bins[k]
--- a/forecast/forecast_test.go
+++ b/forecast/forecast_test.go
@@ -34,7 +34,7 @@
 				rate += perSecond * 6 * math.Sin(math.Pi*float64(at%peakMS)/float64(peakMS))
 			}
 			if rng.Float64() < rate/100 {
-				h.Add(fmt.Sprintf("s%d", i), startMS+at, quote())
+				h.Add(fmt.Sprintf("s%d", i), startMS+at, startMS+at, quote())
 			}
 		}
 		if at%200 == 0 {
@@ -117,7 +117,7 @@
 	for at := int64(0); at < 60000; at += 10 {
 		for i := range 4 {
 			if rng.Float64() < 0.18 {
-				even.Add(fmt.Sprintf("s%d", i), startMS+at, quote())
+				even.Add(fmt.Sprintf("s%d", i), startMS+at, startMS+at, quote())
 			}
 		}
 	}
@@ -140,8 +140,21 @@
 // TestJobWithWrongTimeIsIgnored guards against a history that is emptied by one job whose submission time is far off.
 func TestJobWithWrongTimeIsIgnored(t *testing.T) {
 	h := New()
-	h.Add("a", startMS, quote())
-	h.Add("a", startMS+1000*historyBins*binMS, quote())
-	h.Add("a", 0, quote())
+	h.Add("a", startMS, startMS, quote())
+	h.Add("a", startMS+1000*historyBins*binMS, startMS, quote())
+	h.Add("a", 0, startMS, quote())
 	assert.Len(t, h.bins, 1)
 }
+
+// TestHistoryResumesAfterALull guards against a history that takes no more jobs once none was submitted for longer than it goes back.
+func TestHistoryResumesAfterALull(t *testing.T) {
+	h := New()
+	h.Add("a", startMS, startMS, quote())
+	const later = startMS + 2*historyBins*binMS
+	for at := int64(0); at < 2000; at += 50 {
+		for range at / 100 {
+			h.Add("a", later+at, later+at, quote())
+		}
+	}
+	assert.Positive(t, h.ExpectedRise("a", later+2000, 2300).CPU)
+}
--- a/jobnode/follower.go
+++ b/jobnode/follower.go
@@ -182,7 +182,7 @@
 	}
 	if kind == ledger.JobAdded {
 		s := f.ledger.Jobs[id].Submission
-		f.history.Add(s.Service, s.ReceivedMS, &s.Spec)
+		f.history.Add(s.Service, s.ReceivedMS, time.Now().UnixMilli(), &s.Spec)
 	}
 	if kind == ledger.MachineOrdered {
 		f.orderSeenAt[id] = boottime.Now()
