--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -197,7 +197,7 @@
 			sim.core.ServerUnlisted(id)
 		}
 	}
-	for _, id := range sim.core.Servers() {
+	for _, id := range slices.Sorted(slices.Values(sim.core.Servers())) {
 		if sim.longPolls != nil {
 			sim.poll(id)
 			continue
