Log the slack with which jobs start and the load of each service

Event 7013 said whether a job could still be on time when it began, but not by how much, and 7008 has totals over all services. So the logs couldn't tell a pool that is too small from jobs that start at the last moment although the pool is large enough.

No decision has changed; the tests of dispatch, events and jobnode pass.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -89,6 +89,12 @@
 	return v
 }
 
+// ServiceLoads returns the load of each service, without accepted jobs that haven't arrived yet.
+func (c *Core) ServiceLoads() map[string]loadshed.ServiceLoad {
+	c.updateLoads()
+	return maps.Clone(c.admission.loads)
+}
+
 // currentLoad returns the load of a service, including accepted jobs that haven't arrived yet.
 func (c *Core) currentLoad(name string) loadshed.ServiceLoad {
 	s := c.admission.loads[name]
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -124,6 +124,7 @@
 	started         bool
 	firstStart      time.Duration // 0 if a predecessor started it
 	lateAtStart     bool          // it could no longer be on time when its first task started
+	slackAtStart    time.Duration // its slack when its first task started
 	failedRuns      int
 	cancelled       bool
 	failed          bool
@@ -212,7 +213,8 @@
 	Phase                 jobs.Phase
 	WaitedMS, TookMS      int64 // from the submission to the first start, and to the end
 	FailedRuns            int
-	LateAtStart           bool // it could no longer be on time when its first task started
+	LateAtStart           bool  // it could no longer be on time when its first task started
+	SlackAtStartMS        int64 // time that it had left beyond its expected run time when its first task started
 }
 
 // TakeJobSummaries returns the summaries of the jobs that have ended since the last call.
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -175,7 +175,7 @@
 	}
 	return JobSummary{
 		Job: j.sub.ID, Queue: j.sub.Route, Workspace: j.sub.Workspace, Phase: phase, WaitedMS: waited.Milliseconds(),
-		TookMS: (now - j.submittedAt).Milliseconds(), FailedRuns: j.failedRuns, LateAtStart: j.lateAtStart,
+		TookMS: (now - j.submittedAt).Milliseconds(), FailedRuns: j.failedRuns, LateAtStart: j.lateAtStart, SlackAtStartMS: j.slackAtStart.Milliseconds(),
 	}
 }
 
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -28,9 +28,9 @@
 type candidate struct {
 	job  *job
 	rank rank
-	// sortKey orders jobs of the same rank: the slack, which is the time left beyond the remaining steps, or the time of submission for long-running
-	// jobs and for those that can't be on time.
+	// sortKey orders jobs of the same rank: the slack, or the time of submission for long-running jobs and for those that can't be on time.
 	sortKey time.Duration
+	slack   time.Duration // time left beyond the remaining steps; negative if the job will be late; unset for long-running jobs
 }
 
 // Schedule starts all tasks that may start and for which there is capacity.
--- a/dispatch/ranking.go
+++ b/dispatch/ranking.go
@@ -81,31 +81,34 @@
 // candidate returns a job with its rank.
 func (c *Core) candidate(j *job) candidate {
 	if j.sub.Spec.LongRunning() {
-		return candidate{j, rankLongRunning, j.submittedAt}
+		return candidate{job: j, rank: rankLongRunning, sortKey: j.submittedAt}
 	}
-	slack, margin, useful := time.Duration(1<<62), time.Duration(0), true
+	w := candidate{job: j, sortKey: j.submittedAt, slack: time.Duration(1 << 62)}
+	margin, useful := time.Duration(0), true
 	for _, o := range j.occurrences {
 		total, remaining := c.criticalPath(o)
 		within := objective(j.sub, total)
 		margin = max(margin, remaining/marginDivisor+minMargin)
-		slack = min(slack, c.dueAt(o)+within-c.now-remaining)
+		w.slack = min(w.slack, c.dueAt(o)+within-c.now-remaining)
 		useful = useful && c.now+remaining <= c.dueAt(o)+maxUsefulFactor*within
 	}
 	switch {
 	case !useful:
-		return candidate{j, rankTooLate, j.submittedAt}
-	case slack < 0 && j.started:
-		return candidate{j, rankLateStarted, j.submittedAt}
-	case slack < 0:
-		return candidate{j, rankLate, j.submittedAt}
+		w.rank = rankTooLate
+	case w.slack < 0 && j.started:
+		w.rank = rankLateStarted
+	case w.slack < 0:
+		w.rank = rankLate
 	case j.started:
-		return candidate{j, rankStarted, slack}
-	case slack < margin:
-		return candidate{j, rankLate, j.submittedAt}
+		w.rank, w.sortKey = rankStarted, w.slack
+	case w.slack < margin:
+		w.rank = rankLate
 	case j.overShare:
-		return candidate{j, rankOverShare, slack}
+		w.rank, w.sortKey = rankOverShare, w.slack
+	default:
+		w.rank, w.sortKey = rankOnTime, w.slack
 	}
-	return candidate{j, rankOnTime, slack}
+	return w
 }
 
 // objective returns the time within which a job has to end if the run time of its critical path is total.
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -29,7 +29,8 @@
 	c.addRun(r)
 	j := t.step.occurrence.job
 	if !j.started {
-		j.lateAtStart = c.candidate(j).rank.late()
+		w := c.candidate(j)
+		j.lateAtStart, j.slackAtStart = w.rank.late(), w.slack
 		j.started, j.firstStart = true, c.now
 		c.markDirty(j)
 	}
--- a/events/events.go
+++ b/events/events.go
@@ -40,12 +40,13 @@
 	DispatcherHandedOver = Event{7009, zerolog.InfoLevel, "this node hands the dispatcher role over to a stronger node", []string{"epoch"}, "nothing; if it repeats, find out why stronger nodes don't claim first"}
 	JobStored            = Event{7011, zerolog.InfoLevel, "job accepted and stored", []string{"job", "queue", "workspace", "config_version", "took_ms"}, "nothing"}
 	CallRefused          = Event{7012, zerolog.InfoLevel, "call refused", []string{"method", "path", "kind", "status", "error"}, "see the kind in docs/errors.md"}
-	JobEnded             = Event{7013, zerolog.InfoLevel, "job ended", []string{"job", "queue", "workspace", "phase", "waited_ms", "took_ms", "failed_runs", "began_late"}, "see docs/OPERATIONS.md for jobs that failed or were late"}
+	JobEnded             = Event{7013, zerolog.InfoLevel, "job ended", []string{"job", "queue", "workspace", "phase", "waited_ms", "took_ms", "failed_runs", "began_late", "start_slack_ms"}, "see docs/OPERATIONS.md for jobs that failed or were late"}
 	DependencyLost       = Event{7014, zerolog.WarnLevel, "a dependency of this node can't be reached", []string{"name", "error"}, "see docs/OPERATIONS.md, what a lost dependency looks like"}
 	DependencyBack       = Event{7015, zerolog.InfoLevel, "a dependency of this node can be reached again", []string{"name"}, "nothing"}
 	EntryUnreadable      = Event{7016, zerolog.WarnLevel, "the entry of a backend server is malformed and is ignored", []string{"server"}, "find out who else writes to the list of servers"}
 	RelayFailed          = Event{7017, zerolog.WarnLevel, "a relay node doesn't respond; other nodes take over its servers", []string{"relay", "error"}, "nothing; if it repeats, check that node"}
 	CallPanicked         = Event{7018, zerolog.ErrorLevel, "a call panicked; the process continues", []string{"method", "error", "stack"}, "report it with the stack"}
+	ServiceLoad          = Event{7019, zerolog.InfoLevel, "load of a service", []string{"service", "servers", "free_servers", "arriving_servers", "backlog_server_s", "late_backlog_server_s"}, "if a backlog stays above two seconds of the servers, the pool is too small"}
 	UpkeepOrdered        = Event{7102, zerolog.InfoLevel, "upkeep of a machine ordered", []string{"machine", "server", "wave", "answer"}, "nothing"}
 	MoveOrdered          = Event{7103, zerolog.InfoLevel, "move of a machine ordered", []string{"machine", "server", "from", "to", "answer"}, "nothing"}
 	WaveComplete         = Event{7104, zerolog.InfoLevel, "all machines of a wave have begun their upkeep", []string{"wave"}, "nothing"}
@@ -83,7 +84,7 @@
 		DrainStarted, DrainEmpty, DrainDone, DrainAbandoned,
 		MoveStarted, MoveDone,
 		DispatcherClaimed, DispatcherStarted, DispatcherStopped, DispatcherFenced, OrderFenced, StartRefused, ServerProblem, DispatchState, DispatcherHandedOver, JobStored, CallRefused, JobEnded,
-		DependencyLost, DependencyBack, EntryUnreadable, RelayFailed, CallPanicked,
+		DependencyLost, DependencyBack, EntryUnreadable, RelayFailed, CallPanicked, ServiceLoad,
 		UpkeepOrdered, MoveOrdered, WaveComplete,
 	}
 }
--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +17,7 @@
 	"example.org/comfreyrouter/internal/netrpc"
 	"example.org/comfreyrouter/jobs"
 	"example.org/comfreyrouter/ledger"
+	"example.org/comfreyrouter/loadshed"
 	"example.org/comfreyrouter/platform"
 	"example.org/comfreyrouter/relay"
 )
@@ -135,7 +138,7 @@
 		events.Log(d.log, events.ServerProblem, p.Server, p.Reason, p.Runs, p.Age.Seconds())
 	}
 	for _, s := range summaries {
-		events.Log(d.log, events.JobEnded, s.Job, s.Queue, s.Workspace, string(s.Phase), s.WaitedMS, s.TookMS, s.FailedRuns, s.LateAtStart)
+		events.Log(d.log, events.JobEnded, s.Job, s.Queue, s.Workspace, string(s.Phase), s.WaitedMS, s.TookMS, s.FailedRuns, s.LateAtStart, s.SlackAtStartMS)
 	}
 	d.sendOrders(orders)
 }
@@ -349,8 +352,13 @@
 		sleep(ctx, stateLogInterval)
 		d.removeExpired()
 		var n dispatch.Counts
-		d.update(func(c *dispatch.Core) { n = c.Counts() })
+		var loads map[string]loadshed.ServiceLoad
+		d.update(func(c *dispatch.Core) { n, loads = c.Counts(), c.ServiceLoads() })
 		counts := d.flushEventCounts()
 		events.Log(d.log, events.DispatchState, n.LongRunning, n.Started, n.OnTime, n.OverShare, n.Late, n.Runs, n.Servers, counts)
+		for _, name := range slices.Sorted(maps.Keys(loads)) {
+			s := loads[name]
+			events.Log(d.log, events.ServiceLoad, name, s.Servers, s.FreeServers, s.ArrivingServers, s.Backlog.Seconds(), s.LateBacklog.Seconds())
+		}
 	}
 }
