Let the dispatcher take over what it has stored without reading it back

Cause: the dispatcher learned of the jobs that it stores for other nodes, and of its own records about machines, by reading the ledger. 51 nodes came back from a cut, each 36,000 records behind, and used up the store's read bandwidth; the dispatcher got 1 to 4 reads a second of up to 1.15 s each (a trial with the duration of each read), where 35 of 0.04 s are usual. Appends took 20 to 50 ms all the while.

Change: jobs and cancellations of its own appends enter the core as soon as they are stored, and a machine is announced once the append of its record has succeeded. An append under its epoch precedes every record of a successor, so reading it back added nothing.

--- a/jobnode/appends.go
+++ b/jobnode/appends.go
@@ -105,7 +105,7 @@
 	defer d.closePuts()
 	var last time.Duration
 	for ctx.Err() == nil {
-		batch, puts := d.nextBatch()
+		batch, puts, fromNodes := d.nextBatch()
 		due := boottime.Now()-last >= roleRenewInterval
 		if due {
 			batch.Records = append(batch.Records, ledger.DispatcherRecord(d.roleRecord()))
@@ -115,6 +115,7 @@
 			answerPuts(puts, PutUnconfirmed)
 			return
 		}
+		d.applyStored(fromNodes)
 		answerPuts(puts, PutStored)
 		d.batchStored(batch)
 		if len(puts) > 0 {
@@ -125,16 +126,43 @@
 	}
 }
 
-// nextBatch returns the decisions since the last batch, together with pending records of other nodes.
-func (d *dispatcher) nextBatch() (dispatch.Batch, []pendingPut) {
-	puts := d.takePuts()
+// nextBatch returns the decisions since the last batch, together with pending records of other nodes, which are also returned separately.
+func (d *dispatcher) nextBatch() (batch dispatch.Batch, puts []pendingPut, fromNodes []ledger.Record) {
+	puts = d.takePuts()
 	d.mu.Lock()
-	batch := d.core.TakeBatch()
+	batch = d.core.TakeBatch()
 	d.mu.Unlock()
 	for _, p := range puts {
-		batch.Records = append(append(batch.Records, p.records...), d.startMarks(p.records)...)
+		fromNodes = append(append(fromNodes, p.records...), d.startMarks(p.records)...)
+	}
+	batch.Records = append(batch.Records, fromNodes...)
+	return batch, puts, fromNodes
+}
+
+// applyStored takes over jobs and cancellations that this dispatcher has just stored for other nodes. It would otherwise learn of them when it reads
+// the ledger, which takes seconds while many nodes catch up and share the store's read bandwidth. Jobs that the ledger already has are left to the
+// follower.
+func (d *dispatcher) applyStored(records []ledger.Record) {
+	stored := ledger.New()
+	for _, r := range records {
+		if _, _, err := stored.Apply(r, 0); err != nil {
+			events.Log(d.log, events.RecordSkipped, err)
+		}
+	}
+	for id, e := range stored.Jobs {
+		known := d.follower.known(id)
+		d.update(func(c *dispatch.Core) {
+			if !known {
+				c.AddJob(e)
+			}
+			if e.Cancelled {
+				c.Cancel(id)
+			}
+		})
+	}
+	if len(stored.Jobs) > 0 {
+		d.wakeUp()
 	}
-	return batch, puts
 }
 
 func (d *dispatcher) batchStored(b dispatch.Batch) {
--- a/jobnode/machines.go
+++ b/jobnode/machines.go
@@ -31,11 +31,8 @@
 	// minPoolMachines is the minimum number of machines in a pool, so that the first tasks of a demand peak start before more machines can arrive.
 	minPoolMachines = 3
 	// handoverMargin is added to the minimum interval between the orders of two dispatchers for one machine: an order follows its record within
-	// announceTimeout, and takes some milliseconds to arrive.
-	handoverMargin = announceTimeout + 300*time.Millisecond
-	// announceTimeout bounds the wait until an order is in the ledger, and announcePollDelay is the delay between two checks.
-	announceTimeout   = 400 * time.Millisecond
-	announcePollDelay = 4 * time.Millisecond
+	// putTimeout, and takes some milliseconds to arrive.
+	handoverMargin = putTimeout + 300*time.Millisecond
 	// orderRateShare is the share of the platform's order rate that is used, and orderBurst the time for which unused orders accumulate. The
 	// platform refuses orders beyond the rate, and bills each refusal.
 	orderRateShare = 0.9
@@ -108,23 +105,20 @@
 }
 
 // announce stores in the ledger that this dispatcher orders machines, and returns the machines that it may order. A machine that a predecessor has
-// ordered recently has to wait, because two dispatchers must not order one machine in quick succession. All machines of a round are awaited
-// together, since hundreds of separate waits use up the processor that reads the ledger.
-func (mc *machineController) announce(ctx context.Context, machines []string) map[string]bool {
+// ordered recently has to wait, because two dispatchers must not order one machine in quick succession. An append of this dispatcher that the store
+// accepts precedes every record of a successor, so the orders needn't wait until the ledger has been read up to it.
+func (mc *machineController) announce(machines []string) map[string]bool {
 	order := ledger.MachineOrder{Epoch: mc.role.Epoch, AtMS: time.Now().UnixMilli()}
-	waiting := slices.DeleteFunc(slices.Clone(machines), func(machine string) bool { return !mc.handoverElapsed(machine) })
-	mc.update(func(c *dispatch.Core) {
-		for _, machine := range waiting {
-			c.QueueRecord(ledger.MachineRecord(machine, order))
-		}
-	})
+	var records []ledger.Record
 	announced := map[string]bool{}
-	for deadline := boottime.Now() + announceTimeout; len(waiting) > 0 && boottime.Now() < deadline && ctx.Err() == nil; sleep(ctx, announcePollDelay) {
-		waiting = slices.DeleteFunc(waiting, func(machine string) bool {
-			o, ok := mc.lastMachineOrder(machine)
-			announced[machine] = ok && o == order
-			return announced[machine]
-		})
+	for _, machine := range machines {
+		if mc.handoverElapsed(machine) {
+			announced[machine] = true
+			records = append(records, ledger.MachineRecord(machine, order))
+		}
+	}
+	if len(records) == 0 || mc.storeForNode(records) != PutStored {
+		return nil
 	}
 	return announced
 }
@@ -226,7 +220,7 @@
 		return
 	}
 	startedAt := boottime.Now()
-	announced := mc.announce(ctx, machines)
+	announced := mc.announce(machines)
 	// Without a limit on concurrent orders, one that waited for a free connection could go out when a successor may already have ordered the
 	// machine.
 	slots := make(chan struct{}, platform.MaxMachineOrders)
--- a/jobnode/machines_test.go
+++ b/jobnode/machines_test.go
@@ -61,8 +61,8 @@
 	assert.Zero(t, moveBudget(0, true))
 }
 
-// newTestController returns a controller that orders machines at an address, and whose records reach the ledger some milliseconds after they are
-// decided.
+// newTestController returns a controller that orders machines at an address, and whose records are stored some milliseconds after they are decided.
+// Its node never reads the ledger again.
 func newTestController(t *testing.T, address string) *machineController {
 	t.Helper()
 	follower := newFollower(nil, zerolog.Nop())
@@ -76,15 +76,13 @@
 	t.Cleanup(cancel)
 	go func() {
 		for ; ctx.Err() == nil; sleep(ctx, 10*time.Millisecond) {
-			d.mu.Lock()
-			batch := d.core.TakeBatch()
-			d.mu.Unlock()
-			follower.mu.Lock()
+			batch, puts, _ := d.nextBatch()
+			stored := ledger.New()
 			for _, r := range batch.Records {
-				_, _, err := follower.ledger.Apply(r, 1)
+				_, _, err := stored.Apply(r, 1)
 				assert.NoError(t, err)
 			}
-			follower.mu.Unlock()
+			answerPuts(puts, PutStored)
 		}
 	}()
 	return &machineController{dispatcher: d, upkeepPlanner: upkeep.New(time.Second), autoscaler: autoscale.New(), unansweredMoves: map[string]autoscale.Move{}, firstListed: map[string]listing{}, terminating: map[string]termination{}}
