Let nodes that are far behind read the newest records instead of the log

Cause: a node shows its callers the state that it has read. 51 nodes came back from a cut, each read 36,000 records, most of them replaced by later ones, and all reads share the store's bandwidth: 0.3 to 1.5 s for each read on all 147 nodes, for 7 s.

Change: when more records are left than the state has keys, a node that doesn't dispatch starts again from the newest record of each key, as at its start; the first page after a gap is 64 KiB. The state is rebuilt from empty, so records that were removed meanwhile don't stay. A node whose ledger is incomplete doesn't take over the dispatcher role.

TestNodesFarBehindReadTheNewestRecords fails with the rule switched off (the log is read on).

--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -101,7 +101,8 @@
 	d.flushEventCounts()
 }
 
-// takeOver builds the core from the ledger. It reports false if there is no configuration yet, or if the role is lost already.
+// takeOver builds the core from the ledger. It reports false if there is no configuration yet, if the ledger is incomplete, or if the
+// role is lost already.
 func (d *dispatcher) takeOver() bool {
 	config := d.operators.view().config
 	if config == nil {
@@ -110,7 +111,7 @@
 	}
 	d.follower.mu.Lock()
 	defer d.follower.mu.Unlock()
-	if d.follower.ledger.Dispatcher.Incarnation != d.role.Incarnation || d.follower.ledger.Dispatcher.Epoch != d.role.Epoch {
+	if !d.follower.synced || d.follower.ledger.Dispatcher.Incarnation != d.role.Incarnation || d.follower.ledger.Dispatcher.Epoch != d.role.Epoch {
 		return false
 	}
 	bounds := d.node.settings.Bounds
@@ -327,7 +328,7 @@
 	if from < 0 {
 		return d.store.LatestByKey(ctx, platform.TopicServers)
 	}
-	page, err := d.store.Read(ctx, platform.TopicServers, from, serverListWait)
+	page, err := d.store.Read(ctx, platform.TopicServers, from, serverListWait, platform.MaxPageKB)
 	if errors.Is(err, platform.ErrRecordsDeleted) {
 		return nil, -1, err
 	}
--- a/jobnode/follower.go
+++ b/jobnode/follower.go
@@ -32,6 +32,8 @@
 	maxClaimTimes = 64
 	// maxLedgerAge is the age of the last read up to which the ledger may answer that a job isn't known.
 	maxLedgerAge = 2500 * time.Millisecond
+	// firstPageKB is the size of the first page after a gap, in KiB: about a tenth of a second's records at the largest load measured.
+	firstPageKB = 64
 	// maxReadGap is the longest gap between two reads that still counts as silence of the dispatcher.
 	maxReadGap = 2 * time.Second
 )
@@ -98,7 +100,7 @@
 		return end, nil
 	}
 	wait := f.readWait()
-	page, err := f.store.Read(ctx, platform.TopicJobs, from, wait)
+	page, err := f.store.Read(ctx, platform.TopicJobs, from, wait, f.pageLimit())
 	if wait == 0 && err == nil {
 		f.recordLatency(boottime.Now() - sent)
 	}
@@ -108,10 +110,26 @@
 	if err != nil {
 		return from, err
 	}
+	if f.skipsRest(page) {
+		return -1, nil
+	}
 	f.applyPage(page, sent)
 	return page.Next, nil
 }
 
+// skipsRest reports whether the newest record of each key should be read instead of the rest of the log, which has more records than there are keys. When
+// many nodes return at once, reading the log uses up the store's read bandwidth, and the state that all nodes show their callers falls behind. A
+// dispatcher reads every record, because it acts on the changes.
+func (f *follower) skipsRest(page platform.Page) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.dispatching || !f.synced || page.End == page.Next || page.End-page.Next <= int64(f.ledger.Keys()) {
+		return false
+	}
+	f.synced = false
+	return true
+}
+
 // readWait returns how long a read may wait for a record: not at all while the state is incomplete or the dispatcher may be gone.
 func (f *follower) readWait() time.Duration {
 	f.mu.Lock()
@@ -122,6 +140,16 @@
 	return ledgerReadWait
 }
 
+// pageLimit returns the size of the next page in KiB. The first page after a gap only shows how far behind this node is.
+func (f *follower) pageLimit() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.synced && !f.behind && boottime.Now()-f.confirmedAt > maxReadGap {
+		return firstPageKB
+	}
+	return platform.MaxPageKB
+}
+
 func (f *follower) recordLatency(took time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -130,14 +158,19 @@
 	}
 }
 
-// restore applies the latest record of each key.
+// restore replaces the state by the latest record of each key. On a dispatcher it applies them to the state instead, so that the change of each job is
+// seen once.
 func (f *follower) restore(records []platform.Record) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	previous := f.ledger
+	if !f.dispatching {
+		f.ledger = ledger.New()
+	}
 	f.latestOffsets = make(map[string]int64, len(records))
 	for _, r := range records {
 		f.latestOffsets[r.Key] = r.Offset
-		f.apply(r)
+		f.apply(r, previous)
 	}
 	// These records are read page by page and are no consistent snapshot: the state is complete once the log has been read past the newest of them.
 	f.synced = false
@@ -156,7 +189,7 @@
 		if newer, ok := f.latestOffsets[r.Key]; ok && newer >= r.Offset {
 			continue
 		}
-		f.apply(r)
+		f.apply(r, nil)
 	}
 	if f.behind = page.Next < page.End; f.behind {
 		return // there is more to read, so the state is no more recent than before
@@ -174,13 +207,14 @@
 	f.confirmedAt = sent
 }
 
-func (f *follower) apply(r platform.Record) {
+// apply applies a record. Jobs of the state before a restore, if there was one, are in the history of the demand already.
+func (f *follower) apply(r platform.Record, previous *ledger.Ledger) {
 	kind, id, err := f.ledger.Apply(ledger.Record{Key: r.Key, Value: r.Value}, r.Offset)
 	if err != nil {
 		events.Log(f.log, events.RecordSkipped, err)
 		return
 	}
-	if kind == ledger.JobAdded {
+	if kind == ledger.JobAdded && (previous == nil || !previous.Known(id)) {
 		s := f.ledger.Jobs[id].Submission
 		f.history.Add(s.Service, s.ReceivedMS, time.Now().UnixMilli(), &s.Spec)
 	}
--- a/jobnode/follower_test.go
+++ b/jobnode/follower_test.go
@@ -2,6 +2,11 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -157,3 +162,44 @@
 	e.dispatch(context.Background(), ledger.Dispatcher{Epoch: 1})
 	assert.Equal(t, claimed, got)
 }
+
+// TestNodesFarBehindReadTheNewestRecords guards against nodes that read the whole log when they return from a partition: a third of the nodes used up
+// the store's read bandwidth for seven seconds, and callers of all nodes saw the end of their jobs seconds late.
+func TestNodesFarBehindReadTheNewestRecords(t *testing.T) {
+	const left = 30_000
+	var logReads, newestReads atomic.Int64
+	done := ledger.FinalStateRecords(jobID, ledger.FinalState{Phase: jobs.Complete, Route: "q"})[0]
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/log-newest" {
+			newestReads.Add(1)
+			_ = json.NewEncoder(w).Encode(map[string]any{"items": []map[string]any{{"key": done.Key, "value": done.Value, "offset": left}}, "end_offset": left + 1})
+			return
+		}
+		logReads.Add(1)
+		header := binary.BigEndian.AppendUint64(nil, left+1)
+		_, _ = w.Write(binary.BigEndian.AppendUint64(header, 0))
+	}))
+	defer store.Close()
+	f := newFollower(platform.NewStoreClient(store.Listener.Addr().String()), zerolog.Nop())
+	gone := ledger.ServerRecord("gone", ledger.Server{Service: "pool"})
+	f.applyPage(platform.Page{Records: []platform.Record{{Key: gone.Key, Value: gone.Value}}, Next: 1, End: 1}, boottime.Now())
+	require.True(t, f.fresh())
+	f.confirmedAt = boottime.Now() - time.Minute
+	assert.Equal(t, firstPageKB, f.pageLimit())
+	from, err := f.step(t.Context(), 1, boottime.Now())
+	require.NoError(t, err)
+	require.EqualValues(t, -1, from)
+	assert.False(t, f.fresh(), "the state is old until the newest records have been read")
+	from, err = f.step(t.Context(), from, boottime.Now())
+	require.NoError(t, err)
+	assert.EqualValues(t, left+1, from)
+	_, err = f.step(t.Context(), from, boottime.Now())
+	require.NoError(t, err)
+	assert.True(t, f.fresh())
+	phase, known, _ := f.phase(jobID)
+	assert.True(t, known)
+	assert.Equal(t, jobs.Complete, phase)
+	assert.Empty(t, f.ledger.Servers, "removed in the records that weren't read")
+	assert.EqualValues(t, 2, logReads.Load())
+	assert.EqualValues(t, 1, newestReads.Load())
+}
--- a/jobnode/operators.go
+++ b/jobnode/operators.go
@@ -74,7 +74,7 @@
 		}
 		return records, next, nil
 	}
-	page, err := o.store.Read(ctx, platform.TopicOperators, from, operatorReadWait)
+	page, err := o.store.Read(ctx, platform.TopicOperators, from, operatorReadWait, platform.MaxPageKB)
 	if err != nil {
 		return nil, from, err
 	}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -205,6 +205,11 @@
 	return records
 }
 
+// Keys returns about how many keys the state has: one for each entry, and two more for each job that has not ended.
+func (l *Ledger) Keys() int {
+	return len(l.Jobs) + 2*l.CountOpen() + len(l.Servers) + len(l.Machines) + len(l.Nodes) + len(l.Waves)
+}
+
 // CountOpen counts the accepted jobs that have not ended.
 func (l *Ledger) CountOpen() int {
 	n := 0
