Give up tasks that crash the servers on which they start

Cause: a run that is lost with its server was remembered by nobody, and a new dispatcher knew nothing of crashes at all. A mere count would give up the 12 to 15 tasks beside the culprit, too.

Change: a crash is attributed to the recent runs of the server, with graded evidence, and stored before the task starts again. Suspects start apart from others like them, so that the next crash tells. Runs on silent servers, and the server of a suspect, are stored for a successor. Drains, moves and upkeep don't count. 7013 has the crashes of a job.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -81,6 +81,7 @@
 	percent         int
 	progressAt      time.Duration // when percent last rose
 	progressClockMS int64         // server clock at progressAt; 0 if no report has set it
+	survived        bool          // it was reported long enough after its start, so it didn't crash the server by starting
 	pace            int           // ordered percentage of its full speed; -1 if the order has to be sent again
 	latencyMS       float64       // tail latency in the last report, for a task that serves requests
 }
@@ -96,6 +97,9 @@
 	notBefore      time.Duration // earliest next start after a failure
 	avoidServer    string        // server of the last failure
 	startCount     int64         // number of starts by this dispatcher
+	crashes        []ledger.Crash
+	crashUnstored  bool               // the last crash isn't stored yet
+	silentRuns     []ledger.SilentRun // on servers that have fallen silent
 }
 
 // step is one step of an occurrence.
@@ -126,6 +130,7 @@
 	lateAtStart     bool          // it could no longer be on time when its first task started
 	slackAtStart    time.Duration // its slack when its first task started
 	failedRuns      int
+	crashes         int // number of its runs that may have crashed their server
 	cancelled       bool
 	failed          bool
 	occurrences     map[int]*occurrence
@@ -163,9 +168,13 @@
 	released            bool           // it gets no new work, because another pool takes over its machine once it is empty
 	cordoned            bool           // it gets no new work, because its machine is about to have its upkeep or to move
 	terminating         bool           // its upkeep or move is being ordered
-	idleSince           time.Duration  // when a run on it last ended, or when it became known
-	fillerPace          int            // percentage of their full speed at which filler tasks run
-	paceChangedAt       time.Duration  // when fillerPace last changed
+	heardAt             time.Duration  // the last sign of life: a report, or the answer to an order
+	trial               *run           // the last run that was started apart from others
+	reservedFor         *task          // a task that has to start there apart from others
+	reservedUntil       time.Duration
+	idleSince           time.Duration // when a run on it last ended, or when it became known
+	fillerPace          int           // percentage of their full speed at which filler tasks run
+	paceChangedAt       time.Duration // when fillerPace last changed
 }
 
 // Core is the state of a dispatcher. It isn't safe for concurrent use.
@@ -184,6 +193,8 @@
 	serverListComplete bool            // the platform's server list has been read completely
 	upkeepDue          map[string]bool // servers whose machines are due for upkeep
 	unstoredJobs       map[string]*job // jobs whose progress has to be stored
+	unstoredCrashes    []*task
+	silent             map[string]silentServer // by server
 	orders             []Order
 	records            []ledger.Record
 	endedJobs          map[string]bool         // jobs whose final state has been queued for storing
@@ -213,6 +224,7 @@
 	Phase                 jobs.Phase
 	WaitedMS, TookMS      int64 // from the submission to the first start, and to the end
 	FailedRuns            int
+	Crashes               int   // number of its runs that were lost when their server crashed, and may have caused it
 	LateAtStart           bool  // it could no longer be on time when its first task started
 	SlackAtStartMS        int64 // time that it had left beyond its expected run time when its first task started
 }
@@ -240,7 +252,7 @@
 func New(p Params, l *ledger.Ledger, config *jobs.Configuration, now time.Duration, wallMS int64) *Core {
 	c := &Core{
 		params: p, servers: map[string]*server{}, jobs: map[string]*job{}, usage: map[string]jobs.Resources{},
-		unstoredJobs: map[string]*job{}, endedJobs: map[string]bool{}, runtimes: map[string]*runtimeMean{}, eventCounts: map[string]int{},
+		unstoredJobs: map[string]*job{}, silent: map[string]silentServer{}, endedJobs: map[string]bool{}, runtimes: map[string]*runtimeMean{}, eventCounts: map[string]int{},
 		arrivals: map[string]*arrivals{}, shares: map[string]*shareBucket{}, markedWaiting: map[string]int{},
 		admission: admission{admitted: map[string]admittedJob{}, rejections: map[string]rejection{}, acceptedAt: map[string]time.Duration{}, startedAt: now},
 		now:       now, wallMS: wallMS,
@@ -259,6 +271,13 @@
 				continue // it had failed and has no runs, so it ended at once
 			}
 			j.inherited = e.Progress.MayHaveStarted
+			for _, o := range j.occurrences {
+				for _, s := range o.steps {
+					for _, t := range s.tasks {
+						c.restoreSilence(t, l.Servers)
+					}
+				}
+			}
 			if e.Cancelled {
 				c.cancel(j)
 			}
--- /dev/null
+++ b/dispatch/crashes.go
@@ -0,0 +1,286 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"example.org/comfreyrouter/ledger"
+)
+
+// A task may crash each server that starts it, and ends the runs beside it with the server. A crash is therefore attributed to the runs that may have
+// caused it, the more strongly the fewer these are. A task that may be the cause is started apart from others like it, so that its next crash either
+// has one possible cause or clears it.
+
+const (
+	// startSurvival is how long after its start a run must be reported so that it hasn't crashed its server by starting. Reports come at least every
+	// 0.2 s where runs end by themselves.
+	startSurvival = 100 * time.Millisecond
+	// maxCauseAge is the age from which on a run isn't the cause of a crash: a task that crashes servers does so after each start.
+	maxCauseAge = 5 * time.Second
+	// crashesToGiveUp is the number of crashed servers with which a task is given up if it is the only possible cause of one crash and the likely cause
+	// of another one. Two are enough if it is the only possible cause of both.
+	crashesToGiveUp = 3
+	// maxCrashes is the number of crashed servers with which a task is given up in any case. The platform allows two starts after the third crash, and
+	// crashes that nobody saw during a change of dispatcher may come on top.
+	maxCrashes = 4
+	// silenceRetention is how long the runs of a silent server are remembered. A crashed server is back after some seconds.
+	silenceRetention = time.Minute
+	// reservationTimeout is how long a server is kept free for a task that has to start apart from others; most tasks end within a second or two.
+	reservationTimeout = 3 * time.Second
+	// maxReservedShare is the share of a pool's servers that may be kept free for such tasks at a time.
+	maxReservedShare = 0.25
+)
+
+// caution says apart from which runs a task has to be started.
+type caution int
+
+const (
+	startAnywhere  caution = iota
+	startApart             // no other run on the server may be one that hasn't survived its start
+	startExclusive         // no other run on the server may be a possible cause of a crash
+)
+
+// lostRun is a run that was lost with its server, or may be.
+type lostRun struct {
+	task     string
+	attempt  int64
+	evidence ledger.CrashEvidence // what a crash of the server says about the task
+}
+
+// silentServer holds the runs of a server that has fallen silent: it may have crashed, or may be cut off.
+type silentServer struct {
+	machine string
+	bornMS  int64
+	at      time.Duration
+	runs    []lostRun
+}
+
+// lostRuns returns the runs that may have caused the end of a server: those that hadn't survived their start and, in case there is none or the crash was
+// a slow one, the other recent ones.
+func (s *server) lostRuns() []lostRun {
+	var recent []*run
+	starting := 0
+	for _, r := range s.runs {
+		if !r.survived {
+			starting++
+		}
+		if !r.survived || s.heardAt-r.sentAt <= maxCauseAge {
+			recent = append(recent, r)
+		}
+	}
+	lost := make([]lostRun, 0, len(recent))
+	for _, r := range recent {
+		evidence := ledger.CrashedBeside
+		switch {
+		case len(recent) == 1:
+			evidence = ledger.OnlyCause
+		case !r.survived && starting == 1:
+			evidence = ledger.LikelyCause
+		case !r.survived:
+			evidence = ledger.PossibleCause
+		}
+		lost = append(lost, lostRun{r.task.id.String(), r.attempt, evidence})
+	}
+	return lost
+}
+
+// serverCrashed attributes the end of a server to its runs, unless the end was planned: it was draining, or its machine was ordered away.
+func (c *Core) serverCrashed(s *server) {
+	lost := c.silent[s.info.ID].runs
+	if len(s.runs) > 0 {
+		lost = s.lostRuns()
+	} else if c.silent[s.info.ID].bornMS > s.bornMS {
+		return // they run on a later incarnation
+	}
+	c.forgetSilence(s.info.ID)
+	if !s.terminating && (!s.listed || s.info.Ready) {
+		c.attributeCrash(lost)
+	}
+}
+
+// serverSilent remembers the runs of a silent server until it is known whether it has crashed. They are stored, so that a new dispatcher knows of a crash
+// that this one doesn't live to see.
+func (c *Core) serverSilent(s *server) {
+	lost := s.lostRuns()
+	if _, known := c.silent[s.info.ID]; known || len(lost) == 0 {
+		return
+	}
+	c.silent[s.info.ID] = silentServer{s.info.Machine, s.bornMS, c.now, lost}
+	for _, l := range lost {
+		if t := c.findTask(l.task); t != nil && !t.step.spec.LongRunning {
+			t.silentRuns = append(t.silentRuns, ledger.SilentRun{Server: s.info.ID, BornMS: s.bornMS, Attempt: l.attempt, Evidence: l.evidence})
+			c.markDirty(t.step.occurrence.job)
+		}
+	}
+	for id, other := range c.silent {
+		if c.now-other.at > silenceRetention {
+			c.forgetSilence(id)
+		}
+	}
+}
+
+// forgetSilence forgets the runs of a server that was silent. What is stored about them is replaced with the next progress of their jobs.
+func (c *Core) forgetSilence(server string) {
+	for _, l := range c.silent[server].runs {
+		if t := c.findTask(l.task); t != nil {
+			t.silentRuns = slices.DeleteFunc(t.silentRuns, func(r ledger.SilentRun) bool { return r.Server == server })
+		}
+	}
+	delete(c.silent, server)
+}
+
+// storedSilentRuns returns the attempts at a task of which a successor has to find out whether they have crashed their server: those on silent servers,
+// and the current one if an earlier one may have crashed its server.
+func (t *task) storedSilentRuns() []ledger.SilentRun {
+	r := t.run
+	if r == nil || t.caution() == startAnywhere || slices.ContainsFunc(t.silentRuns, func(s ledger.SilentRun) bool { return s.Attempt == r.attempt }) {
+		return t.silentRuns
+	}
+	evidence := ledger.LikelyCause
+	if t.caution() == startExclusive {
+		evidence = ledger.OnlyCause
+	}
+	return append(slices.Clone(t.silentRuns), ledger.SilentRun{Server: r.server.info.ID, BornMS: r.server.bornMS, Attempt: r.attempt, Evidence: evidence})
+}
+
+// restoreSilence takes over what a predecessor has stored about a task on silent servers.
+func (c *Core) restoreSilence(t *task, servers map[string]ledger.Server) {
+	for _, r := range t.silentRuns {
+		s := c.silent[r.Server]
+		known, recorded := servers[r.Server]
+		if !recorded {
+			continue // it has left
+		}
+		s.machine, s.bornMS, s.at = known.Machine, max(s.bornMS, r.BornMS), c.now
+		s.runs = append(s.runs, lostRun{t.id.String(), r.Attempt, r.Evidence})
+		c.silent[r.Server] = s
+	}
+}
+
+// resolveSilence attributes the crash of a silent server that a newer server on the same machine, or with the same id, has replaced.
+func (c *Core) resolveSilence(s *server) {
+	for id, silent := range c.silent {
+		if (id == s.info.ID || silent.machine != "" && silent.machine == s.info.Machine) && silent.bornMS < s.bornMS {
+			c.forgetSilence(id)
+			c.attributeCrash(silent.runs)
+		}
+	}
+}
+
+// attributeCrash records a crash with the tasks that may have caused it.
+func (c *Core) attributeCrash(lost []lostRun) {
+	for _, l := range lost {
+		if t := c.findTask(l.task); t != nil && !t.done {
+			c.recordCrash(t, ledger.Crash{Attempt: l.attempt, Evidence: l.evidence})
+		}
+	}
+}
+
+// recordCrash records a crash with a task. The task doesn't start again before that is stored, so that the next dispatcher knows of it too.
+func (c *Core) recordCrash(t *task, crash ledger.Crash) {
+	if slices.ContainsFunc(t.crashes, func(o ledger.Crash) bool { return o.Attempt == crash.Attempt }) {
+		return
+	}
+	t.crashes = append(t.crashes, crash)
+	t.crashUnstored = true
+	c.unstoredCrashes = append(c.unstoredCrashes, t)
+	c.count("crash_" + crash.Evidence.String())
+	j := t.step.occurrence.job
+	j.crashes++
+	c.markDirty(j)
+	if t.crashesServers() && !j.failed {
+		c.count("task_given_up")
+		j.failed = true
+		c.stopRuns(j)
+		c.finishIfEnded(j)
+	}
+}
+
+// crashesServers reports whether a task is given up because servers have crashed under it.
+func (t *task) crashesServers() bool {
+	n, likely, only := len(t.crashes), t.countCrashes(ledger.LikelyCause), t.countCrashes(ledger.OnlyCause)
+	return n >= maxCrashes || only > 1 || n >= crashesToGiveUp && likely > 1 && only > 0
+}
+
+// countCrashes returns the number of crashes with at least the given evidence against a task.
+func (t *task) countCrashes(evidence ledger.CrashEvidence) int {
+	n := 0
+	for _, crash := range t.crashes {
+		if crash.Evidence >= evidence {
+			n++
+		}
+	}
+	return n
+}
+
+// mayStart reports whether what is known of crashes allows another start of a task: the last crash is stored, and if silent servers had crashed, it would
+// not have been started too often.
+func (t *task) mayStart() bool {
+	return !t.crashUnstored && (len(t.silentRuns) == 0 || len(t.crashes)+len(t.silentRuns) < crashesToGiveUp)
+}
+
+// caution returns how a task has to be started.
+func (t *task) caution() caution {
+	switch {
+	case len(t.crashes)+len(t.silentRuns) > 1 || t.countCrashes(ledger.LikelyCause) > 0:
+		return startExclusive
+	case t.countCrashes(ledger.PossibleCause) > 0:
+		return startApart
+	}
+	return startAnywhere
+}
+
+// mayCauseCrash reports whether a run would be a possible cause if its server crashed now, as far as a task with the given caution is concerned.
+func (r *run) mayCauseCrash(level caution, now time.Duration) bool {
+	if level == startExclusive {
+		return !r.survived || now-r.sentAt <= maxCauseAge
+	}
+	return !r.survived
+}
+
+// acceptsTask reports whether a task may start on a server in view of the crashes that it, or a task there, may cause.
+func (c *Core) acceptsTask(s *server, t *task) bool {
+	if s.trial != nil && s.trial.task.run == s.trial && s.trial.mayCauseCrash(s.trial.task.caution(), c.now) {
+		return false
+	}
+	if s.reservedFor != nil && s.reservedFor != t && c.now < s.reservedUntil && c.startable(s.reservedFor) {
+		return false
+	}
+	return t.caution() == startAnywhere || s.blockingRuns(t.caution(), c.now) == 0
+}
+
+// blockingRuns returns the number of runs on a server beside which a task with the given caution mustn't start.
+func (s *server) blockingRuns(level caution, now time.Duration) int {
+	n := 0
+	for _, r := range s.runs {
+		if r.mayCauseCrash(level, now) {
+			n++
+		}
+	}
+	return n
+}
+
+// reserveServer keeps a server free of new work until a task can start there apart from others.
+func (c *Core) reserveServer(t *task, pool []*server) {
+	var best *server
+	reserved, fewest := 0, 0
+	for _, s := range pool {
+		if s.reservedFor != nil && c.now < s.reservedUntil && c.startable(s.reservedFor) {
+			if s.reservedFor == t {
+				return
+			}
+			reserved++
+			continue
+		}
+		if !t.step.spec.Allocation().Fits(s.info.Capacity) || !s.info.HasLabel(t.step.spec.Label) {
+			continue
+		}
+		if n := s.blockingRuns(t.caution(), c.now); best == nil || n < fewest {
+			best, fewest = s, n
+		}
+	}
+	if best == nil || reserved > int(maxReservedShare*float64(len(pool))) {
+		return
+	}
+	best.reservedFor, best.reservedUntil = t, c.now+reservationTimeout
+}
--- /dev/null
+++ b/dispatch/crashes_test.go
@@ -0,0 +1,237 @@
+package dispatch
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"example.org/comfreyrouter/jobs"
+	"example.org/comfreyrouter/ledger"
+)
+
+// crashSeeds is the number of days of each kind in TestTasksThatCrashServers: go test ./dispatch -run CrashServers -args -crash.seeds=60
+var crashSeeds = flag.Int("crash.seeds", 4, "number of simulated days of each kind with tasks that crash servers")
+
+// crashSimulation is a simulated fleet on which some tasks crash the servers that start them. It counts the crashes under each task.
+type crashSimulation struct {
+	*simulation
+	deadly    map[string]time.Duration // by task: how long after its start it crashes the server
+	crashed   map[string]int           // servers that crashed under each task, for any cause
+	starts    map[string]int           // of each deadly task
+	surplus   map[string]int           // starts of each deadly task after the third crash
+	crashAt   map[string]time.Duration // by server
+	restartAt map[string]time.Duration
+}
+
+func newCrashSimulation(seed uint64, servers int) *crashSimulation {
+	cs := &crashSimulation{
+		simulation: newSimulation(seed, servers), deadly: map[string]time.Duration{}, crashed: map[string]int{}, starts: map[string]int{}, surplus: map[string]int{},
+		crashAt: map[string]time.Duration{}, restartAt: map[string]time.Duration{},
+	}
+	cs.config.Workspaces[0].Limit = jobs.Resources{}
+	cs.core.SetConfiguration(cs.config)
+	cs.onStart = func(s *fakeServer, task string) {
+		delay, isDeadly := cs.deadly[task]
+		if !isDeadly {
+			return
+		}
+		s.runs[task].endsAt = cs.now + time.Hour // it doesn't end before it crashes the server
+		cs.starts[task]++
+		if cs.crashed[task] >= 3 {
+			cs.surplus[task]++
+		}
+		if _, crashing := cs.crashAt[s.info.ID]; !crashing {
+			cs.crashAt[s.info.ID] = cs.now + delay
+		}
+	}
+	return cs
+}
+
+// crash ends the incarnation of a server, which comes back after some seconds.
+func (cs *crashSimulation) crash(s *fakeServer) {
+	if !s.up {
+		return
+	}
+	for task := range s.runs {
+		cs.crashed[task]++
+	}
+	s.up = false
+	s.runs = map[string]*fakeRun{}
+	cs.restartAt[s.info.ID] = cs.now + 3*time.Second + time.Duration(cs.rng.IntN(5000))*time.Millisecond
+}
+
+func (cs *crashSimulation) run(d time.Duration) {
+	for until := cs.now + d; cs.now < until; {
+		for _, id := range cs.serverIDs() {
+			s := cs.servers[id]
+			if at, ok := cs.crashAt[id]; ok && cs.now >= at {
+				delete(cs.crashAt, id)
+				cs.crash(s)
+			}
+			if at, ok := cs.restartAt[id]; ok && cs.now >= at {
+				delete(cs.restartAt, id)
+				if !s.up {
+					cs.restart(s)
+				}
+			}
+		}
+		cs.step()
+	}
+}
+
+// crashDay describes the faults of a simulated day.
+type crashDay struct {
+	name      string
+	takeovers int           // changes of the dispatcher
+	unrelated int           // crashes of servers that no task causes
+	cutOffs   int           // servers that are cut off for some seconds and run on
+	slow      bool          // tasks crash their server up to a second after they have started
+	spacing   time.Duration // between two jobs
+}
+
+var crashDays = []crashDay{
+	{name: "plain", spacing: 80 * time.Millisecond},
+	{name: "takeovers", takeovers: 4, spacing: 80 * time.Millisecond},
+	{name: "unrelated crashes", unrelated: 12, spacing: 80 * time.Millisecond},
+	{name: "slow crashes", slow: true, spacing: 120 * time.Millisecond},
+	{name: "all", takeovers: 4, unrelated: 12, cutOffs: 6, slow: true, spacing: 120 * time.Millisecond},
+}
+
+// play plays a day of 20 s on 16 servers and returns how many of its harmless jobs were given up, and how many had no result.
+func (cs *crashSimulation) play(t *testing.T, day crashDay) (harmless, givenUp int) {
+	t.Helper()
+	cs.run(300 * time.Millisecond)
+	var harmlessJobs []string
+	next := 0x1000
+	dayEnd := cs.now + 20*time.Second
+	at := func(n int) map[time.Duration]bool {
+		moments := map[time.Duration]bool{}
+		for range n {
+			moments[cs.now+time.Duration(cs.rng.IntN(1000))*tick] = true
+		}
+		return moments
+	}
+	takeovers, unrelated, cutOffs, submitAt := at(day.takeovers), at(day.unrelated), at(day.cutOffs), cs.now
+	healAt := map[string]time.Duration{}
+	for cs.now < dayEnd {
+		if cs.now >= submitAt {
+			id := fmt.Sprintf("%016x", next)
+			next++
+			submitAt += day.spacing
+			if cs.rng.IntN(20) == 0 {
+				delay := tick
+				if day.slow {
+					delay += time.Duration(cs.rng.IntN(1000)) * time.Millisecond
+				}
+				cs.deadly[jobs.TaskID{Job: id}.String()] = delay
+			} else {
+				harmlessJobs = append(harmlessJobs, id)
+			}
+			cs.submit(id, stepOf(4, 500), stepOf(2, 500, 0))
+		}
+		ids := cs.serverIDs()
+		s := cs.servers[ids[cs.rng.IntN(len(ids))]]
+		if unrelated[cs.now] {
+			cs.crash(s)
+		}
+		if cutOffs[cs.now] && s.up {
+			s.cutOff = true
+			healAt[s.info.ID] = cs.now + 6*time.Second
+		}
+		if takeovers[cs.now] {
+			cs.takeOver()
+		}
+		for id, at := range healAt {
+			if cs.now >= at {
+				cs.servers[id].cutOff = false
+			}
+		}
+		cs.run(tick)
+	}
+	cs.endFaults()
+	cs.run(settleTime)
+	for _, id := range harmlessJobs {
+		if cs.phase(id) == jobs.Failed {
+			givenUp++
+		}
+		require.NotNil(t, cs.ledger.Jobs[id].Final, "%s has not ended", id)
+	}
+	return len(harmlessJobs), givenUp
+}
+
+// TestTasksThatCrashServers guards against both errors: a task that crashes the servers on which it starts and is started without end (it broke rule
+// BUDGET), and giving up the tasks that were lost beside it or with servers that crashed for another reason.
+func TestTasksThatCrashServers(t *testing.T) {
+	for _, day := range crashDays {
+		t.Run(day.name, func(t *testing.T) {
+			t.Parallel()
+			jobsInAll, innocent, deadly, starts := 0, 0, 0, 0
+			for seed := range uint64(*crashSeeds) {
+				cs := newCrashSimulation(100+seed, 16)
+				harmless, givenUp := cs.play(t, day)
+				jobsInAll, innocent = jobsInAll+harmless, innocent+givenUp
+				for task := range cs.deadly {
+					deadly, starts = deadly+1, starts+cs.starts[task]
+					assert.Less(t, cs.surplus[task], 3, "seed %d: %s started after three servers had crashed under it", 100+seed, task)
+				}
+				assert.Empty(t, cs.violations, "seed %d", 100+seed)
+			}
+			t.Logf("%d of %d harmless jobs given up; %d deadly tasks started %.2f times on average", innocent, jobsInAll, deadly, float64(starts)/float64(max(deadly, 1)))
+			assert.LessOrEqual(t, innocent*1000, jobsInAll, "at most one harmless job in a thousand")
+		})
+	}
+}
+
+// TestCrashesAreStoredBeforeTheTaskStartsAgain guards against a dispatcher that starts a task again and is replaced before it has stored that the task
+// may have crashed a server.
+func TestCrashesAreStoredBeforeTheTaskStartsAgain(t *testing.T) {
+	cs := newCrashSimulation(7, 3)
+	cs.run(300 * time.Millisecond)
+	task := jobs.TaskID{Job: newJob}.String()
+	cs.deadly[task] = tick
+	cs.submit(newJob, stepOf(1, 1000))
+	cs.run(time.Second)
+	require.Equal(t, 1, cs.starts[task])
+	for id := range cs.restartAt {
+		cs.restartAt[id] = cs.now + time.Second // before the leases of the runs have expired
+	}
+	cs.storeDown = true
+	cs.run(8 * time.Second)
+	assert.Equal(t, 1, cs.starts[task], "the crash isn't stored")
+	cs.takeOver()
+	cs.storeDown = false
+	cs.run(20 * time.Second)
+	assert.LessOrEqual(t, cs.starts[task], 4)
+	assert.Equal(t, jobs.Failed, cs.phase(newJob))
+}
+
+// TestSuspectsStartApart guards against a second crash that proves nothing, because another task that may be the cause was starting beside the first.
+func TestSuspectsStartApart(t *testing.T) {
+	sim := newSimulation(8, 2)
+	sim.config.Workspaces[0].Limit = jobs.Resources{}
+	sim.core.SetConfiguration(sim.config)
+	sim.run(300 * time.Millisecond)
+	sim.submit(newJob, stepOf(2, 1000))
+	suspects := sim.core.jobs[newJob].occurrences[0].steps[0].tasks
+	for i, suspect := range suspects {
+		suspect.crashes = []ledger.Crash{{Attempt: int64(i + 1), Evidence: ledger.PossibleCause}}
+	}
+	sim.submit("00000000000000b1", stepOf(2, 1000))
+	sim.step()
+	sim.step()
+	for _, s := range sim.core.servers {
+		starting := s.blockingRuns(startApart, sim.core.now)
+		for _, r := range s.runs {
+			if r.task.caution() != startAnywhere {
+				assert.Equal(t, 1, starting, "another start beside a suspect")
+			}
+		}
+	}
+	sim.run(5 * time.Second)
+	assert.Equal(t, jobs.Complete, sim.phase(newJob))
+	assert.Empty(t, sim.violations)
+}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"example.org/comfreyrouter/jobs"
@@ -78,8 +79,9 @@
 		}
 		for k, f := range sp.Failures {
 			if k >= 0 && k < len(o.steps[i].tasks) {
-				o.steps[i].tasks[k].failedAttempts = f.Attempts
-				o.job.failed = o.job.failed || o.steps[i].tasks[k].exhausted()
+				t := o.steps[i].tasks[k]
+				t.failedAttempts, t.crashes, t.silentRuns = f.Attempts, f.Crashes, f.Silent
+				o.job.failed = o.job.failed || t.exhausted() || t.crashesServers()
 			}
 		}
 	}
@@ -175,7 +177,7 @@
 	}
 	return JobSummary{
 		Job: j.sub.ID, Queue: j.sub.Route, Workspace: j.sub.Workspace, Phase: phase, WaitedMS: waited.Milliseconds(),
-		TookMS: (now - j.submittedAt).Milliseconds(), FailedRuns: j.failedRuns, LateAtStart: j.lateAtStart, SlackAtStartMS: j.slackAtStart.Milliseconds(),
+		TookMS: (now - j.submittedAt).Milliseconds(), FailedRuns: j.failedRuns, Crashes: j.crashes, LateAtStart: j.lateAtStart, SlackAtStartMS: j.slackAtStart.Milliseconds(),
 	}
 }
 
@@ -219,11 +221,11 @@
 		for _, t := range s.tasks {
 			if t.done {
 				sp.Done = append(sp.Done, t.id.Index)
-			} else if len(t.failedAttempts) > 0 {
+			} else if silent := t.storedSilentRuns(); len(t.failedAttempts)+len(t.crashes)+len(silent) > 0 {
 				if sp.Failures == nil {
 					sp.Failures = map[int]ledger.TaskFailures{}
 				}
-				sp.Failures[t.id.Index] = ledger.TaskFailures{Attempts: t.failedAttempts}
+				sp.Failures[t.id.Index] = ledger.TaskFailures{Attempts: t.failedAttempts, Crashes: t.crashes, Silent: silent}
 			}
 		}
 		p.Steps = append(p.Steps, sp)
@@ -237,6 +239,7 @@
 	ends       map[string]int64 // newest end that the records take into account, by server
 	servers    []string         // servers whose record is in the batch
 	startMarks []string         // jobs whose tasks may start once the batch is stored
+	crashed    []*task          // tasks whose last crash is in the batch
 }
 
 // Empty reports whether there is nothing to store and nothing to acknowledge.
@@ -246,6 +249,7 @@
 func (c *Core) TakeBatch() Batch {
 	b := Batch{Records: c.records, ends: map[string]int64{}}
 	c.records = nil
+	b.crashed, c.unstoredCrashes = c.unstoredCrashes, nil
 	for id, j := range c.unstoredJobs {
 		b.Records = append(b.Records, ledger.ProgressRecord(id, j.progress()))
 		if j.startMark == markRequested {
@@ -275,6 +279,9 @@
 			j.startMark = markStored
 		}
 	}
+	for _, t := range b.crashed {
+		t.crashUnstored = slices.Contains(c.unstoredCrashes, t) // it may have crashed another server meanwhile
+	}
 	for id, lastEnd := range b.ends {
 		if s := c.servers[id]; s != nil {
 			s.storedEnd = max(s.storedEnd, min(lastEnd, s.lastEnd))
@@ -285,7 +292,7 @@
 			s.recorded = true
 		}
 	}
-	return len(b.startMarks)+len(b.servers) > 0
+	return len(b.startMarks)+len(b.servers)+len(b.crashed) > 0
 }
 
 // QueueRecord adds a record to the next batch.
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -72,7 +72,9 @@
 	return false
 }
 
-func (c *Core) startable(t *task) bool { return t.run == nil && !t.done && c.now >= t.notBefore }
+func (c *Core) startable(t *task) bool {
+	return t.run == nil && !t.done && t.mayStart() && c.now >= t.notBefore
+}
 
 // ready reports whether all tasks of the preceding steps are done.
 func (s *step) ready() bool {
@@ -156,6 +158,10 @@
 			continue
 		}
 		srv := c.chooseServer(t, pool, nil)
+		if srv == nil && t.caution() != startAnywhere {
+			c.reserveServer(t, pool)
+			continue
+		}
 		if srv == nil {
 			return
 		}
@@ -240,6 +246,9 @@
 		if !t.step.spec.Allocation().Fits(free) || !s.info.HasLabel(t.step.spec.Label) || c.atMaxPerServer(t, s) {
 			continue
 		}
+		if !c.acceptsTask(s, t) {
+			continue
+		}
 		if _, allowed := c.ticketFor(t.step, s); !allowed {
 			continue
 		}
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -27,6 +27,10 @@
 	t.startCount++
 	r := &run{task: t, server: s, attempt: c.params.Epoch*attemptsPerEpoch + t.startCount, state: runStarting, sentAt: c.now, progressAt: c.now, pace: 100}
 	c.addRun(r)
+	if t.caution() != startAnywhere {
+		s.trial = r
+		c.markDirty(t.step.occurrence.job)
+	}
 	j := t.step.occurrence.job
 	if !j.started {
 		w := c.candidate(j)
@@ -99,6 +103,9 @@
 	if r == nil {
 		return
 	}
+	if result != jobs.StartUnknown {
+		r.server.heardAt = c.now
+	}
 	if r.state != runStarting {
 		if result == jobs.Started && r.confirmedAt == 0 {
 			r.confirmedAt = c.now
@@ -160,6 +167,7 @@
 		r.percent, r.progressAt, r.progressClockMS = a.Percent, c.now, s.clockMS
 	}
 	r.latencyMS = a.Load
+	r.survived = r.survived || c.now-r.sentAt >= startSurvival
 	if a.Checkpoint != "" {
 		r.task.checkpoint = a.Checkpoint
 	}
@@ -196,7 +204,7 @@
 func (c *Core) adopt(s *server, a jobs.RunState) {
 	t := c.findTask(a.Task)
 	if t != nil && t.run == nil && !t.done && !t.step.occurrence.job.cancelled && !t.step.occurrence.job.failed && a.Attempt/attemptsPerEpoch < c.params.Epoch {
-		r := &run{task: t, server: s, attempt: a.Attempt, state: runActive, sentAt: c.now, confirmedAt: c.now, activeAt: c.now, progressAt: c.now, percent: a.Percent, pace: 100}
+		r := &run{task: t, server: s, attempt: a.Attempt, state: runActive, sentAt: c.now, confirmedAt: c.now, activeAt: c.now, progressAt: c.now, percent: a.Percent, pace: 100, survived: true}
 		c.addRun(r)
 		t.step.occurrence.job.started = true
 		if a.Checkpoint != "" {
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -25,6 +25,7 @@
 	s.bornMS = max(s.bornMS, info.BornMS)
 	s.info, s.listed = info, true
 	c.removePreviousServers(s)
+	c.resolveSilence(s)
 }
 
 // removePreviousServers removes the servers that ran on the machine of s before s, because everything on them has ended.
@@ -35,6 +36,7 @@
 	for _, o := range c.servers {
 		if o != s && o.info.Machine == s.info.Machine && o.bornMS < s.bornMS && !o.terminated {
 			c.reportProblem(o, "machine_has_new_server")
+			c.serverCrashed(o)
 			c.serverTerminated(o)
 		}
 	}
@@ -60,6 +62,9 @@
 		m, found := byID[s.info.Machine]
 		if !found || m.Server != "" && m.Server != s.info.ID || m.Phase == jobs.MachineInUpkeep || m.Phase == jobs.MachineMoving {
 			c.reportProblem(s, "machine_left")
+			if m.Phase != jobs.MachineInUpkeep && m.Phase != jobs.MachineMoving {
+				c.serverCrashed(s)
+			}
 			c.serverTerminated(s)
 		}
 	}
@@ -75,6 +80,7 @@
 // serverRestarted handles a new incarnation of a server with the same id. Everything that ran on it is lost.
 func (c *Core) serverRestarted(s *server, bornMS int64) {
 	c.reportProblem(s, "server_reborn")
+	c.serverCrashed(s)
 	c.dropRuns(s)
 	s.bornMS, s.lastEnd, s.storedEnd, s.clockMS, s.recvAt = bornMS, 0, 0, 0, 0
 	s.leasesExpireAt, s.consecutiveFailures = 0, 0
@@ -184,6 +190,9 @@
 	if s == nil {
 		return
 	}
+	if s.unresponsive {
+		c.serverSilent(s) // a single renewal may be lost
+	}
 	s.unresponsive = true
 	if c.now-sent > timeout+maxDetectionDelay {
 		c.count("renewal_seen_late")
@@ -198,6 +207,7 @@
 func (c *Core) ServerReplaced(id string) {
 	if s := c.servers[id]; s != nil {
 		c.reportProblem(s, "server_gone")
+		c.serverCrashed(s)
 		c.serverTerminated(s)
 	}
 }
@@ -236,7 +246,8 @@
 	if r.BornMS != 0 {
 		s.bornMS = r.BornMS
 	}
-	s.clockMS, s.sentAt, s.recvAt, s.unresponsive = r.ClockMS, sent, c.now, false
+	s.clockMS, s.sentAt, s.recvAt, s.heardAt, s.unresponsive = r.ClockMS, sent, c.now, c.now, false
+	c.forgetSilence(id) // it was only cut off
 	for _, e := range r.Ended {
 		if e.Number > s.lastEnd {
 			s.lastEnd = e.Number
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -85,9 +85,10 @@
 	unstored      []Batch
 	storeDown     bool // nothing can be stored
 	delayedOrders []delayedOrder
-	lossRate      float64              // share of orders that stay unanswered
-	longPolls     map[string]*longPoll // outstanding renewals by server, if renewals wait for ends and may be lost; otherwise nil
-	endDelays     []time.Duration      // from the end of each run to its report
+	lossRate      float64                          // share of orders that stay unanswered
+	longPolls     map[string]*longPoll             // outstanding renewals by server, if renewals wait for ends and may be lost; otherwise nil
+	endDelays     []time.Duration                  // from the end of each run to its report
+	onStart       func(s *fakeServer, task string) // if set, called for each start that a server carries out
 	violations    []string
 	starts        int
 }
@@ -401,6 +402,9 @@
 		r.how, r.endsAt = jobs.EndFailed, sim.now+50*time.Millisecond
 	}
 	s.runs[task] = r
+	if sim.onStart != nil {
+		sim.onStart(s, task)
+	}
 	return jobs.Started
 }
 
--- a/events/events.go
+++ b/events/events.go
@@ -40,7 +40,7 @@
 	DispatcherHandedOver = Event{7009, zerolog.InfoLevel, "this node hands the dispatcher role over to a stronger node", []string{"epoch"}, "nothing; if it repeats, find out why stronger nodes don't claim first"}
 	JobStored            = Event{7011, zerolog.InfoLevel, "job accepted and stored", []string{"job", "queue", "workspace", "config_version", "took_ms"}, "nothing"}
 	CallRefused          = Event{7012, zerolog.InfoLevel, "call refused", []string{"method", "path", "kind", "status", "error"}, "see the kind in docs/errors.md"}
-	JobEnded             = Event{7013, zerolog.InfoLevel, "job ended", []string{"job", "queue", "workspace", "phase", "waited_ms", "took_ms", "failed_runs", "began_late", "start_slack_ms"}, "see docs/OPERATIONS.md for jobs that failed or were late"}
+	JobEnded             = Event{7013, zerolog.InfoLevel, "job ended", []string{"job", "queue", "workspace", "phase", "waited_ms", "took_ms", "failed_runs", "began_late", "start_slack_ms", "crashes"}, "see docs/OPERATIONS.md for jobs that failed or were late"}
 	DependencyLost       = Event{7014, zerolog.WarnLevel, "a dependency of this node can't be reached", []string{"name", "error"}, "see docs/OPERATIONS.md, what a lost dependency looks like"}
 	DependencyBack       = Event{7015, zerolog.InfoLevel, "a dependency of this node can be reached again", []string{"name"}, "nothing"}
 	EntryUnreadable      = Event{7016, zerolog.WarnLevel, "the entry of a backend server is malformed and is ignored", []string{"server"}, "find out who else writes to the list of servers"}
--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -139,7 +139,7 @@
 		events.Log(d.log, events.ServerProblem, p.Server, p.Reason, p.Runs, p.Age.Seconds())
 	}
 	for _, s := range summaries {
-		events.Log(d.log, events.JobEnded, s.Job, s.Queue, s.Workspace, string(s.Phase), s.WaitedMS, s.TookMS, s.FailedRuns, s.LateAtStart, s.SlackAtStartMS)
+		events.Log(d.log, events.JobEnded, s.Job, s.Queue, s.Workspace, string(s.Phase), s.WaitedMS, s.TookMS, s.FailedRuns, s.LateAtStart, s.SlackAtStartMS, s.Crashes)
 	}
 	d.sendOrders(orders)
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -59,7 +59,39 @@
 // TaskFailures holds the failed runs of a task. The attempts are kept rather than their count, because a server may report the end of a run
 // again to a new dispatcher, and the end of an early run may arrive after that of a later one.
 type TaskFailures struct {
-	Attempts []int64 `json:"a"` // numbers of the attempts that failed
+	Attempts []int64     `json:"a,omitempty"` // numbers of the attempts that failed
+	Crashes  []Crash     `json:"c,omitempty"` // attempts that were lost when their server crashed
+	Silent   []SilentRun `json:"s,omitempty"` // attempts on servers that may have crashed
+}
+
+// SilentRun is an attempt at a task on a server that has fallen silent.
+type SilentRun struct {
+	Server   string        `json:"s"`
+	BornMS   int64         `json:"b"` // start of the server's incarnation, Unix time
+	Attempt  int64         `json:"n"`
+	Evidence CrashEvidence `json:"e,omitempty"` // what a crash of the server would say about the task
+}
+
+// Crash is an attempt at a task that was lost when its server crashed.
+type Crash struct {
+	Attempt  int64         `json:"n"`
+	Evidence CrashEvidence `json:"e,omitempty"`
+}
+
+// CrashEvidence says how likely an attempt is the cause of a crash.
+type CrashEvidence int
+
+// The kinds of evidence, in ascending order. They are stored as numbers.
+const (
+	CrashedBeside CrashEvidence = iota // it had survived its start, so another one is more likely
+	PossibleCause                      // it is one of several that had just been started
+	LikelyCause                        // no other one had just been started
+	OnlyCause                          // no other run can be the cause
+)
+
+// String returns the label of the evidence in counters.
+func (e CrashEvidence) String() string {
+	return [...]string{"beside", "possible", "likely", "only"}[e]
 }
 
 // OccurrenceProgress records the progress of one occurrence of a job.
