Count no planned end as a crash, and bound the wait for silent servers

Found by reading.

Draining and cordoned servers don't count, the wait ends after 10 s or when the machine has left the fleet, and a long-running task is cleared once it has run for 5 s.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -147,6 +147,7 @@
 // server is a backend server.
 type server struct {
 	info                jobs.Server
+	draining            bool          // its entry said so
 	listed              bool          // it is in the platform's server list
 	recorded            bool          // the ledger has a record that it may have work
 	recording           bool          // that record has been taken to be stored
--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"example.org/comfreyrouter/jobs"
 	"example.org/comfreyrouter/ledger"
 )
 
@@ -25,6 +26,8 @@
 	maxCrashes = 4
 	// silenceRetention is how long the runs of a silent server are remembered. A crashed server is back after some seconds.
 	silenceRetention = time.Minute
+	// maxSilenceWait is how long a task may have to wait until it is known whether a silent server has crashed.
+	maxSilenceWait = 10 * time.Second
 	// reservationTimeout is how long a server is kept free for a task that has to start apart from others; most tasks end within a second or two.
 	reservationTimeout = 3 * time.Second
 	// maxReservedShare is the share of a pool's servers that may be kept free for such tasks at a time.
@@ -84,7 +87,10 @@
 	return lost
 }
 
-// serverCrashed attributes the end of a server to its runs, unless the end was planned: it was draining, or its machine was ordered away.
+// endPlanned reports whether a server was draining, or its machine was about to have its upkeep or to move, so that its end is no crash.
+func (s *server) endPlanned() bool { return s.draining || s.cordoned || s.terminating }
+
+// serverCrashed attributes the end of a server to its runs, unless the end was planned.
 func (c *Core) serverCrashed(s *server) {
 	lost := c.silent[s.info.ID].runs
 	if len(s.runs) > 0 {
@@ -93,7 +99,7 @@
 		return // they run on a later incarnation
 	}
 	c.forgetSilence(s.info.ID)
-	if !s.terminating && (!s.listed || s.info.Ready) {
+	if !s.endPlanned() {
 		c.attributeCrash(lost)
 	}
 }
@@ -102,7 +108,7 @@
 // that this one doesn't live to see.
 func (c *Core) serverSilent(s *server) {
 	lost := s.lostRuns()
-	if _, known := c.silent[s.info.ID]; known || len(lost) == 0 {
+	if _, known := c.silent[s.info.ID]; known || len(lost) == 0 || s.endPlanned() {
 		return
 	}
 	c.silent[s.info.ID] = silentServer{s.info.Machine, s.bornMS, c.now, lost}
@@ -167,6 +173,16 @@
 	}
 }
 
+// resolveSilentMachines attributes the crash of silent servers whose machine has left the fleet.
+func (c *Core) resolveSilentMachines(machines map[string]jobs.Machine) {
+	for id, silent := range c.silent {
+		if _, found := machines[silent.machine]; !found && silent.machine != "" {
+			c.forgetSilence(id)
+			c.attributeCrash(silent.runs)
+		}
+	}
+}
+
 // attributeCrash records a crash with the tasks that may have caused it.
 func (c *Core) attributeCrash(lost []lostRun) {
 	for _, l := range lost {
@@ -213,10 +229,24 @@
 	return n
 }
 
-// mayStart reports whether what is known of crashes allows another start of a task: the last crash is stored, and if silent servers had crashed, it would
-// not have been started too often.
-func (t *task) mayStart() bool {
-	return !t.crashUnstored && (len(t.silentRuns) == 0 || len(t.crashes)+len(t.silentRuns) < crashesToGiveUp)
+// mayStart reports whether what is known of crashes allows another start of a task: the last crash is stored, and if recently silent servers had
+// crashed, it would not have been started too often.
+func (c *Core) mayStart(t *task) bool {
+	silent := 0
+	for _, r := range t.silentRuns {
+		if c.now-c.silent[r.Server].at < maxSilenceWait {
+			silent++
+		}
+	}
+	return !t.crashUnstored && (silent == 0 || len(t.crashes)+silent < crashesToGiveUp)
+}
+
+// clearLongRunning forgets the crashes of a long-running task that has outlived the age at which it may cause one.
+func (c *Core) clearLongRunning(r *run) {
+	if t := r.task; len(t.crashes) > 0 && t.step.spec.LongRunning && c.now-r.sentAt > maxCauseAge {
+		t.crashes = nil
+		c.markDirty(t.step.occurrence.job)
+	}
 }
 
 // caution returns how a task has to be started.
--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -235,3 +235,49 @@
 	assert.Equal(t, jobs.Complete, sim.phase(newJob))
 	assert.Empty(t, sim.violations)
 }
+
+// TestPlannedEndsAreNoCrashes guards against giving up tasks whose servers were drained, or had their upkeep, while they ran.
+func TestPlannedEndsAreNoCrashes(t *testing.T) {
+	for name, plan := range map[string]func(sim *simulation, s *fakeServer){
+		"draining": func(_ *simulation, s *fakeServer) { s.info.Ready = false },
+		"upkeep":   func(sim *simulation, s *fakeServer) { sim.core.Cordon(s.info.ID, true) },
+		"none":     func(*simulation, *fakeServer) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(9, 1)
+			sim.run(300 * time.Millisecond)
+			sim.submit(newJob, stepOf(1, 1000))
+			sim.run(100 * time.Millisecond)
+			plan(sim, sim.servers["s0"])
+			sim.run(60 * time.Millisecond)
+			sim.restart(sim.servers["s0"])
+			sim.step()
+			crashes := sim.core.jobs[newJob].occurrences[0].steps[0].tasks[0].crashes
+			if name == "none" {
+				require.Len(t, crashes, 1)
+				assert.Equal(t, ledger.OnlyCause, crashes[0].Evidence)
+				return
+			}
+			assert.Empty(t, crashes)
+		})
+	}
+}
+
+// TestLongRunningTasksOutliveCrashes guards against a long-running task that is given up because its servers have crashed once in a while.
+func TestLongRunningTasksOutliveCrashes(t *testing.T) {
+	sim := newSimulation(10, 2)
+	sim.run(300 * time.Millisecond)
+	step := longRunningStep()
+	sim.submit(newJob, step)
+	for range 6 {
+		sim.run(8 * time.Second)
+		for _, s := range sim.servers {
+			if len(s.runs) > 0 {
+				sim.restart(s)
+			}
+		}
+	}
+	sim.run(2 * time.Second)
+	assert.Equal(t, jobs.Running, sim.phase(newJob))
+	assert.Empty(t, sim.violations)
+}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -73,7 +73,7 @@
 }
 
 func (c *Core) startable(t *task) bool {
-	return t.run == nil && !t.done && t.mayStart() && c.now >= t.notBefore
+	return t.run == nil && !t.done && c.mayStart(t) && c.now >= t.notBefore
 }
 
 // ready reports whether all tasks of the preceding steps are done.
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -168,6 +168,7 @@
 	}
 	r.latencyMS = a.Load
 	r.survived = r.survived || c.now-r.sentAt >= startSurvival
+	c.clearLongRunning(r)
 	if a.Checkpoint != "" {
 		r.task.checkpoint = a.Checkpoint
 	}
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -24,6 +24,7 @@
 	}
 	s.bornMS = max(s.bornMS, info.BornMS)
 	s.info, s.listed = info, true
+	s.draining = !info.Ready
 	c.removePreviousServers(s)
 	c.resolveSilence(s)
 }
@@ -55,6 +56,7 @@
 	for _, m := range machines {
 		byID[m.ID] = m
 	}
+	c.resolveSilentMachines(byID)
 	for _, s := range c.servers {
 		if s.listed || s.info.Machine == "" || s.recvAt > 0 && !s.unresponsive {
 			continue
