Forget silent servers whose machine has its upkeep or moves

Found by reading: the runs of a server that fell silent because a former dispatcher had ordered its machine would be blamed for a crash as soon as the machine had a new server (BUDGET: innocent tasks given up).

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -173,12 +173,20 @@
 	}
 }
 
-// resolveSilentMachines attributes the crash of silent servers whose machine has left the fleet.
+// resolveSilentMachines attributes the crash of silent servers whose machine has left the fleet. An upkeep or a move, which a predecessor may have
+// ordered, is no crash.
 func (c *Core) resolveSilentMachines(machines map[string]jobs.Machine) {
 	for id, silent := range c.silent {
-		if _, found := machines[silent.machine]; !found && silent.machine != "" {
+		if silent.machine == "" {
+			continue
+		}
+		m, found := machines[silent.machine]
+		switch {
+		case !found:
 			c.forgetSilence(id)
 			c.attributeCrash(silent.runs)
+		case m.Phase == jobs.MachineInUpkeep || m.Phase == jobs.MachineMoving:
+			c.forgetSilence(id)
 		}
 	}
 }
--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -263,6 +263,25 @@
 	}
 }
 
+// TestUpkeepOfASilentServerIsNoCrash guards against blaming the tasks of a server that fell silent because its machine had its upkeep.
+func TestUpkeepOfASilentServerIsNoCrash(t *testing.T) {
+	sim := newSimulation(11, 2)
+	sim.run(300 * time.Millisecond)
+	sim.submit(newJob, stepOf(1, 1000))
+	sim.run(100 * time.Millisecond)
+	suspect := sim.core.jobs[newJob].occurrences[0].steps[0].tasks[0]
+	s := sim.servers[suspect.run.server.info.ID]
+	s.up = false
+	sim.run(200 * time.Millisecond)
+	require.Len(t, suspect.silentRuns, 1)
+	sim.core.ServerListComplete()
+	sim.core.UpdateMachines([]jobs.Machine{{ID: s.info.Machine, Phase: jobs.MachineInUpkeep}})
+	assert.Empty(t, suspect.silentRuns)
+	sim.restart(s)
+	sim.step()
+	assert.Empty(t, suspect.crashes)
+}
+
 // TestLongRunningTasksOutliveCrashes guards against a long-running task that is given up because its servers have crashed once in a while.
 func TestLongRunningTasksOutliveCrashes(t *testing.T) {
 	sim := newSimulation(10, 2)
