--- a/internal/standin/taskserver/server.go
+++ b/internal/standin/taskserver/server.go
@@ -16,8 +16,13 @@
 	RunTime time.Duration // run time of every task
 	// Ticket, if set, returns the ticket that a start must carry for a step.
 	Ticket func(step string) string
+	// CrashedBy, if set, says which tasks crash the server when they start. It drops all calls for Downtime and then calls OnRestart.
+	CrashedBy func(task string) bool
+	Downtime  time.Duration
+	OnRestart func()
 
 	mu             sync.Mutex
+	down           bool
 	startedAt      time.Time
 	leaseUntil     int64
 	highestFence   int64
@@ -51,6 +56,8 @@
 
 // Registration returns the record by which the server announces itself in the store.
 func (s *Server) Registration(service, address string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	data, _ := json.Marshal(map[string]any{ // maps and lists of plain values always encode
 		"service": service, "address": address, "zone": "z", "phase": "ready", "host_machine": "m-" + s.ID, "born": s.startedAt.UnixMilli(),
 		"room": map[string]int{"cpu": 64000, "mem_mb": 131072}, "labels": []string{"a", "r1"}, "clock_ms": s.clock(), "sequence": 1,
@@ -87,6 +94,21 @@
 	s.mux.ServeHTTP(w, r)
 }
 
+// crash loses all runs and everything that the server knows. The lock must be held.
+func (s *Server) crash() {
+	for _, r := range s.active {
+		r.timer.Stop()
+	}
+	s.down = true
+	time.AfterFunc(s.Downtime, func() {
+		s.mu.Lock()
+		s.down, s.startedAt, s.leaseUntil, s.highestFence, s.lastEnding = false, time.Now(), 0, 0, 0
+		s.active, s.latestAttempts, s.endings = map[string]*run{}, map[string]int64{}, nil
+		s.mu.Unlock()
+		s.OnRestart()
+	})
+}
+
 // order is the body of a call: an order to the server, of which each call uses some fields.
 type order struct {
 	Task      string `json:"task"`
@@ -106,6 +128,10 @@
 		return o, false
 	}
 	s.mu.Lock()
+	if s.down {
+		s.mu.Unlock()
+		panic(http.ErrAbortHandler) // closes the connection without an answer
+	}
 	if o.Fence < s.highestFence {
 		s.mu.Unlock()
 		s.writeJSON(w, http.StatusConflict, map[string]any{"reason": "fence"})
@@ -142,6 +168,9 @@
 		s.active[o.Task] = &run{o.Attempt, time.AfterFunc(s.RunTime, func() { s.finish(o.Task, o.Attempt) })}
 	}
 	s.leaseUntil = max(s.leaseUntil, o.Deadline)
+	if s.CrashedBy != nil && s.CrashedBy(o.Task) {
+		s.crash()
+	}
 	s.writeJSON(w, http.StatusOK, map[string]any{})
 }
 
@@ -200,6 +229,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.down {
+		panic(http.ErrAbortHandler)
+	}
 	active := []any{}
 	for task, run := range s.active {
 		active = append(active, []any{task, run.attempt, "", 100, 0})
