Log what the dispatcher's processor time goes into

Line 7020 has the processor time of the process, of garbage collection and of the scheduling passes; the counts of 7008 now have the reports of servers, and those that repeat only known ends.

--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -250,6 +250,10 @@
 	}
 	s.clockMS, s.sentAt, s.recvAt, s.heardAt, s.unresponsive = r.ClockMS, sent, c.now, c.now, false
 	c.forgetSilence(id) // it was only cut off
+	c.count("report")
+	if len(r.Ended) > 0 && r.Ended[len(r.Ended)-1].Number <= s.lastEnd {
+		c.count("report_repeated") // all of its ends are known, so the server hasn't waited for another one
+	}
 	for _, e := range r.Ended {
 		if e.Number > s.lastEnd {
 			s.lastEnd = e.Number
--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -180,6 +180,7 @@
 
 // schedule runs a scheduling pass whenever something has changed, and at the latest after maxScheduleDelay.
 func (d *dispatcher) schedule(ctx context.Context) {
+	use := newProcessorUse()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -188,7 +189,10 @@
 		case <-d.follower.signal:
 		case <-time.After(maxScheduleDelay):
 		}
+		began := time.Now()
 		d.schedulePass()
+		use.addPass(began)
+		d.logProcessorUse(use)
 		sleep(ctx, minScheduleDelay)
 	}
 }
