Wait for the storing of a server's ends before its next renewal

Cause: a server answers a renewal at once while it has ends that aren't acknowledged, and ends are acknowledged only once they are stored. The next renewal was sent 40 ms after the report, so each end was reported again until its append was through, and in a loop while the store was slow. TestUnstoredEndsCauseNoRenewalLoop failed before: 29 repeated reports in 1.5 s, 6 allowed. The next renewal now waits until the ends are stored, 0.3 s at most, so that a store that is down delays what servers report, not more.

--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"iter"
+	"maps"
 	"slices"
 	"time"
 
@@ -245,6 +247,15 @@
 // Empty reports whether there is nothing to store and nothing to acknowledge.
 func (b Batch) Empty() bool { return len(b.Records) == 0 && len(b.ends) == 0 }
 
+// EndedOn returns the servers whose reported ends are acknowledged once the batch is stored.
+func (b Batch) EndedOn() iter.Seq[string] { return maps.Keys(b.ends) }
+
+// EndsStored reports whether the effects of all ends that a server has reported are stored. The server reports the others again.
+func (c *Core) EndsStored(server string) bool {
+	s := c.servers[server]
+	return s == nil || s.storedEnd >= s.lastEnd
+}
+
 // TakeBatch returns the records decided since the last call.
 func (c *Core) TakeBatch() Batch {
 	b := Batch{Records: c.records, ends: map[string]int64{}}
--- a/internal/standin/taskserver/server.go
+++ b/internal/standin/taskserver/server.go
@@ -32,6 +32,8 @@
 	lastEnding     int64
 	starts         map[string]int // by task
 	rejected       int
+	reportedEnding int64 // number of the newest ending that was reported
+	repeats        int
 	endingAdded    chan struct{}
 	mux            *http.ServeMux
 }
@@ -83,6 +85,20 @@
 	return s.rejected
 }
 
+// ResetRepeats sets the count of Repeats to 0.
+func (s *Server) ResetRepeats() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.repeats = 0
+}
+
+// Repeats returns the number of reports whose endings had all been reported before.
+func (s *Server) Repeats() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.repeats
+}
+
 func (s *Server) clock() int64 { return time.Since(s.startedAt).Milliseconds() }
 
 // ServeHTTP serves a call, unless it is meant for another incarnation of the server.
@@ -232,6 +248,10 @@
 	if s.down {
 		panic(http.ErrAbortHandler)
 	}
+	if len(s.endings) > 0 && s.lastEnding == s.reportedEnding {
+		s.repeats++
+	}
+	s.reportedEnding = s.lastEnding
 	active := []any{}
 	for task, run := range s.active {
 		active = append(active, []any{task, run.attempt, "", 100, 0})
--- a/jobnode/admission_test.go
+++ b/jobnode/admission_test.go
@@ -137,7 +137,7 @@
 		l.Servers[s.ID] = ledger.Server{Service: "pool", Address: f.addresses[i]}
 	}
 	d := &dispatcher{
-		node: &Node{settings: DefaultSettings()}, log: zerolog.Nop(), cancel: cancel, follower: follower, renewing: map[string]bool{},
+		node: &Node{settings: DefaultSettings()}, log: zerolog.Nop(), cancel: cancel, follower: follower, renewing: map[string]chan struct{}{},
 		servers: relay.NewClient(renewalCounter{platform.NewServerClient(), &direct}, zerolog.Nop()), renewedAt: boottime.Now(), wake: make(chan struct{}, 1),
 		core: dispatch.New(dispatch.Params{Epoch: 99, Lease: time.Second}, l, &jobs.Configuration{}, boottime.Now(), now), role: ledger.Dispatcher{Epoch: 99},
 	}
--- a/jobnode/appends.go
+++ b/jobnode/appends.go
@@ -168,6 +168,7 @@
 func (d *dispatcher) batchStored(b dispatch.Batch) {
 	d.mu.Lock()
 	startable := d.core.BatchStored(b)
+	d.signalStored(b)
 	d.mu.Unlock()
 	if startable {
 		d.wakeUp()
--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -31,10 +31,6 @@
 	appendDelay = 30 * time.Millisecond
 	// runLease is the lease of a run: it outlasts a change of dispatcher (about 2.5 s) that follows a renewal by one second.
 	runLease = 4 * time.Second
-	// renewalDelay is the minimum delay between two renewals of a server. Runs that end in between are reported together.
-	renewalDelay = 40 * time.Millisecond
-	// renewalRetryDelay is the delay after a renewal that failed or was not allowed.
-	renewalRetryDelay = 150 * time.Millisecond
 	// serverListDelay is the delay between two reads of the server list, and serverListWait how long a read waits for a new entry.
 	serverListDelay = 150 * time.Millisecond
 	serverListWait  = 900 * time.Millisecond
@@ -60,10 +56,10 @@
 
 	mu        sync.Mutex
 	core      *dispatch.Core
-	config    *jobs.Configuration // the configuration that the core has
-	renewedAt time.Duration       // start of the last append that succeeded; appends renew the role lease
-	renewing  map[string]bool     // servers that have a renewal loop
-	puts      []pendingPut        // records of other nodes that wait for the next append
+	config    *jobs.Configuration      // the configuration that the core has
+	renewedAt time.Duration            // start of the last append that succeeded; appends renew the role lease
+	renewing  map[string]chan struct{} // wakes the renewal loop of each server when ends are stored
+	puts      []pendingPut             // records of other nodes that wait for the next append
 	// putsClosed says that no more records of other nodes are accepted.
 	putsClosed bool
 	sequence   int64 // number of the last append in this epoch
@@ -79,7 +75,7 @@
 	defer cancel()
 	d := &dispatcher{
 		node: n, log: n.log, role: role, store: n.store, servers: relay.NewClient(n.servers, n.log), follower: n.follower, operators: n.operators, cancel: cancel,
-		acquiredAt: boottime.Now(), claimedAt: claimedAt, renewedAt: claimedAt, renewing: map[string]bool{}, sequence: 1,
+		acquiredAt: boottime.Now(), claimedAt: claimedAt, renewedAt: claimedAt, renewing: map[string]chan struct{}{}, sequence: 1,
 		appends: dependencyLog{name: "appends of the dispatcher", log: n.log}, wake: make(chan struct{}, 1),
 	}
 	defer d.servers.Close()
@@ -238,64 +234,6 @@
 	})
 }
 
-// startRenewals starts a renewal loop for each server that has none. Relays are chosen first: hundreds of direct calls at the start of a dispatcher
-// need as many new connections, and use up the time in which it should take over.
-func (d *dispatcher) startRenewals(ctx context.Context) {
-	d.chooseRelays()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, id := range d.core.Servers() {
-		if !d.renewing[id] {
-			d.renewing[id] = true
-			go d.guard("server "+id, func() { d.renewServer(ctx, id) })
-		}
-	}
-}
-
-// renewServer renews the leases on one server and takes its reports, until the core no longer needs the server.
-func (d *dispatcher) renewServer(ctx context.Context, id string) {
-	for ctx.Err() == nil {
-		if !d.canSendOrders() {
-			sleep(ctx, renewalRetryDelay)
-			continue
-		}
-		d.mu.Lock()
-		d.advanceClock()
-		r, ok := d.core.NextRenewal(id)
-		if !ok {
-			delete(d.renewing, id)
-			d.mu.Unlock()
-			return
-		}
-		d.mu.Unlock()
-		d.renew(ctx, id, r)
-	}
-}
-
-func (d *dispatcher) renew(ctx context.Context, id string, r dispatch.Renewal) {
-	sent := boottime.Now()
-	report, result := d.servers.Renew(ctx, r.Server, platform.Renewal{LeaseUntil: r.LeaseUntil, Fence: d.role.Epoch, Taken: r.AckCursor, Wait: r.Wait})
-	d.update(func(c *dispatch.Core) {
-		switch result {
-		case platform.Renewed:
-			c.ReportReceived(id, sent, report)
-		case platform.RenewalWrongInstance:
-			c.ServerReplaced(id)
-		case platform.RenewalUnanswered, platform.RenewalFenced:
-			c.RenewalUnanswered(id, sent, r.Wait+platform.RenewalTimeout+relay.OrderTimeout)
-		}
-	})
-	d.wakeUp()
-	if result == platform.Renewed {
-		sleep(ctx, renewalDelay)
-		return
-	}
-	if result == platform.RenewalFenced {
-		d.superseded(id)
-	}
-	sleep(ctx, renewalRetryDelay)
-}
-
 // superseded stops this dispatcher because a server has seen the fencing token of its successor.
 func (d *dispatcher) superseded(server string) {
 	if d.fenced.CompareAndSwap(false, true) {
