Find the servers of a machine by an index

Each server writes an entry of the list every 1.5 s, and a new dispatcher reads all entries; each was compared with every server, to end those that ran on its machine before.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -183,6 +183,7 @@
 	params             Params
 	config             *jobs.Configuration
 	servers            map[string]*server
+	byMachine          map[string][]*server
 	jobs               map[string]*job
 	routes             map[string]*jobs.Route    // by name
 	policies           bool                      // at least one queue has a policy
@@ -252,7 +253,7 @@
 // New returns a core with the state that the ledger holds.
 func New(p Params, l *ledger.Ledger, config *jobs.Configuration, now time.Duration, wallMS int64) *Core {
 	c := &Core{
-		params: p, servers: map[string]*server{}, jobs: map[string]*job{}, usage: map[string]jobs.Resources{},
+		params: p, servers: map[string]*server{}, byMachine: map[string][]*server{}, jobs: map[string]*job{}, usage: map[string]jobs.Resources{},
 		unstoredJobs: map[string]*job{}, silent: map[string]silentServer{}, endedJobs: map[string]bool{}, runtimes: map[string]*runtimeMean{}, eventCounts: map[string]int{},
 		arrivals: map[string]*arrivals{}, shares: map[string]*shareBucket{}, markedWaiting: map[string]int{},
 		admission: admission{admitted: map[string]admittedJob{}, rejections: map[string]rejection{}, acceptedAt: map[string]time.Duration{}, startedAt: now},
--- a/dispatch/schedule_bench_test.go
+++ b/dispatch/schedule_bench_test.go
@@ -90,3 +90,13 @@
 		c.ReportReceived("i-00000000", now, report)
 	}
 }
+
+// BenchmarkServerListed measures the handling of an entry of the server list. Each server writes one every few seconds, and a new dispatcher reads all.
+func BenchmarkServerListed(b *testing.B) {
+	c, _ := overloaded(0)
+	entry := c.servers["i-00000000"].info
+	b.ReportAllocs()
+	for b.Loop() {
+		c.ServerListed(entry)
+	}
+}
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"example.org/comfreyrouter/jobs"
@@ -10,9 +11,25 @@
 func (c *Core) newServer(info jobs.Server) *server {
 	s := &server{info: info, runs: map[string]*run{}, bornMS: info.BornMS, idleSince: c.now, fillerPace: initialFillerPace}
 	c.servers[info.ID] = s
+	c.addToMachine(s)
 	return s
 }
 
+// addToMachine and removeFromMachine keep the index of servers by machine.
+func (c *Core) addToMachine(s *server) {
+	if m := s.info.Machine; m != "" {
+		c.byMachine[m] = append(c.byMachine[m], s)
+	}
+}
+
+func (c *Core) removeFromMachine(s *server) {
+	m := s.info.Machine
+	c.byMachine[m] = slices.DeleteFunc(c.byMachine[m], func(o *server) bool { return o == s })
+	if len(c.byMachine[m]) == 0 {
+		delete(c.byMachine, m)
+	}
+}
+
 // ServerListed handles an entry of the platform's server list.
 func (c *Core) ServerListed(info jobs.Server) {
 	s := c.servers[info.ID]
@@ -23,6 +40,11 @@
 		c.serverRestarted(s, info.BornMS)
 	}
 	s.bornMS = max(s.bornMS, info.BornMS)
+	if s.info.Machine != info.Machine {
+		c.removeFromMachine(s)
+		s.info.Machine = info.Machine
+		c.addToMachine(s)
+	}
 	s.info, s.listed = info, true
 	s.draining = !info.Ready
 	c.removePreviousServers(s)
@@ -31,11 +53,8 @@
 
 // removePreviousServers removes the servers that ran on the machine of s before s, because everything on them has ended.
 func (c *Core) removePreviousServers(s *server) {
-	if s.info.Machine == "" {
-		return
-	}
-	for _, o := range c.servers {
-		if o != s && o.info.Machine == s.info.Machine && o.bornMS < s.bornMS && !o.terminated {
+	for _, o := range slices.Clone(c.byMachine[s.info.Machine]) {
+		if o != s && o.bornMS < s.bornMS && !o.terminated {
 			c.reportProblem(o, "machine_has_new_server")
 			c.serverCrashed(o)
 			c.serverTerminated(o)
@@ -98,6 +117,7 @@
 // removeServer removes a server on which nothing can run.
 func (c *Core) removeServer(s *server) {
 	delete(c.servers, s.info.ID)
+	c.removeFromMachine(s)
 	if s.recorded || s.recording {
 		c.records = append(c.records, ledger.ServerRemovedRecord(s.info.ID))
 	}
--- a/dispatch/unlisted_test.go
+++ b/dispatch/unlisted_test.go
@@ -44,3 +44,25 @@
 	assert.Len(t, sim.servers[left].runs, 1, "its run continues, and it gets no new work")
 	assert.Empty(t, sim.violations)
 }
+
+// TestServersOfAMachineAreIndexed guards against a takeover that compares each listed server with each other one, and against an index that loses a
+// server whose entry names another machine.
+func TestServersOfAMachineAreIndexed(t *testing.T) {
+	sim := newSimulation(61, 3)
+	sim.run(300 * time.Millisecond)
+	c := sim.core
+	moved := c.servers["s0"].info
+	moved.Machine = c.servers["s1"].info.Machine
+	moved.BornMS = c.servers["s1"].bornMS + 1
+	c.ServerListed(moved)
+	assert.Nil(t, c.servers["s1"], "the newer server has replaced it")
+	indexed := 0
+	for machine, servers := range c.byMachine {
+		for _, s := range servers {
+			assert.Equal(t, machine, s.info.Machine)
+			assert.Same(t, s, c.servers[s.info.ID])
+			indexed++
+		}
+	}
+	assert.Equal(t, len(c.servers), indexed)
+}
