Place tasks without comparing each with every server of its pool

Callers saw: quotes late during a peak. Cause: each start compared the task with every server of its pool, and each late job added up the pool's usage again. The benchmark of the pass has pools of 75 servers; at a peak a pool has 500 or more. Servers are now kept in ascending order of the least cost that they can have, so the search ends at the first one that can't be better; sizes that fit nowhere are remembered during the pass, and the pool's usage is kept up to date.

--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -50,9 +50,13 @@
 		service := c.serviceOf(j)
 		byService[service] = append(byService[service], c.candidate(j))
 	}
+	pools, awaiting := c.serverPools(byService)
 	clear(c.markedWaiting)
 	for service, waiting := range byService {
-		c.markedWaiting[service] = c.placeService(service, waiting)
+		c.markedWaiting[service] = c.placeService(pools[service], waiting, awaiting[service])
+	}
+	for _, p := range pools {
+		c.eventCounts["servers_examined"] += p.examined
 	}
 }
 
@@ -86,24 +90,17 @@
 	return true
 }
 
-// placeService starts tasks of one service in order of priority. It returns how many jobs with a stored or requested mark still wait, or the number
-// of all waiting jobs if no server is schedulable.
-func (c *Core) placeService(service string, waiting []candidate) int {
-	var pool []*server
-	for _, s := range c.servers {
-		if s.info.Service == service && c.schedulable(s) {
-			pool = append(pool, s)
-		}
-	}
-	if len(pool) == 0 {
+// placeService starts tasks of one service in order of priority. Inherited jobs are left out while awaiting is set, because their tasks may run on a
+// server that hasn't reported. It returns how many jobs with a stored or requested mark still wait, or the number of all waiting jobs if no server is
+// schedulable.
+func (c *Core) placeService(pool *serverPool, waiting []candidate, awaiting bool) int {
+	if pool == nil {
 		return len(waiting)
 	}
-	slices.SortFunc(pool, func(a, b *server) int { return cmp.Compare(a.info.ID, b.info.ID) })
 	slices.SortFunc(waiting, compareCandidates)
-	blocked := c.awaitsReports(service)
 	marked := 0
 	for _, w := range waiting {
-		if blocked && w.job.inherited || w.rank.late() && !hasCapacityForLate(pool) {
+		if awaiting && w.job.inherited || w.rank.late() && !pool.hasCapacityForLate() {
 			continue
 		}
 		if w.job.startMark != markStored {
@@ -118,22 +115,8 @@
 	return marked
 }
 
-// lateJobReserve is the share of a pool's processors that late jobs leave free. Their tasks run for about a second, and a demand peak in the meantime
-// would find no capacity.
-const lateJobReserve = 0.25
-
-// hasCapacityForLate reports whether a pool has more free capacity than the reserve for jobs that can be on time.
-func hasCapacityForLate(pool []*server) bool {
-	var capacity, used int64
-	for _, s := range pool {
-		capacity += s.info.Capacity.CPU
-		used += s.used.CPU
-	}
-	return float64(capacity-used) > lateJobReserve*float64(capacity)
-}
-
 // placeJob starts the tasks of a job's ready steps as far as there is capacity.
-func (c *Core) placeJob(j *job, pool []*server) {
+func (c *Core) placeJob(j *job, pool *serverPool) {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			if s.doneCount < len(s.tasks) && s.ready() {
@@ -148,7 +131,7 @@
 }
 
 // placeStep starts the waiting tasks of a step as far as there is capacity. A gang starts completely or not at all.
-func (c *Core) placeStep(s *step, pool []*server) {
+func (c *Core) placeStep(s *step, pool *serverPool) {
 	if s.spec.Gang {
 		c.placeGang(s, pool)
 		return
@@ -157,30 +140,31 @@
 		if !c.startable(t) {
 			continue
 		}
-		srv := c.chooseServer(t, pool, nil)
-		if srv == nil && t.caution() != startAnywhere {
-			c.reserveServer(t, pool)
+		i, found := c.chooseServer(t, pool)
+		if !found && t.caution() != startAnywhere {
+			c.reserveServer(t, pool.servers)
 			continue
 		}
-		if srv == nil {
+		if !found {
 			return
 		}
-		c.start(t, srv)
+		c.start(t, pool.servers[i])
+		pool.taskStarted(i, s.spec.Allocation())
 	}
 }
 
 // placeGang starts all tasks of a gang at once, or none.
-func (c *Core) placeGang(s *step, pool []*server) {
+func (c *Core) placeGang(s *step, pool *serverPool) {
 	for _, t := range s.tasks {
 		if !c.startable(t) {
 			return
 		}
 	}
-	for _, group := range gangServerSets(s, pool) {
+	for _, group := range gangServerSets(s, pool.servers) {
 		chosen := map[*task]*server{}
 		reserved := map[*server]jobs.Resources{}
 		for _, t := range s.tasks {
-			srv := c.chooseServer(t, group, reserved)
+			srv := c.chooseGangServer(t, group, reserved)
 			if srv == nil {
 				break
 			}
@@ -193,6 +177,7 @@
 		for _, t := range s.tasks {
 			c.start(t, chosen[t])
 		}
+		pool.sort()
 		return
 	}
 }
@@ -232,34 +217,82 @@
 	return total.Within(c.limits[ws])
 }
 
-// chooseServer returns the server for a task: the fullest one with enough capacity, so that capacity for large tasks and entire machines stay free.
-func (c *Core) chooseServer(t *task, pool []*server, reserved map[*server]jobs.Resources) *server {
-	ws := t.step.occurrence.job.sub.Workspace
-	if !c.usage[ws].Add(t.step.spec.Need).Within(c.limits[ws]) {
-		c.count("wait_limit")
-		return nil
+// chooseServer returns the position in a pool of the server for a task: the fullest one with enough capacity, so that capacity for large tasks and
+// entire machines stay free. It is false if no server may run the task now. The pool is in ascending order of the least possible cost, so the search
+// ends at the first server that can't be better than the best one so far.
+func (c *Core) chooseServer(t *task, pool *serverPool) (int, bool) {
+	allocation := t.step.spec.Allocation()
+	if c.limitReached(t) || pool.fitsNowhere(allocation) {
+		return 0, false
 	}
-	var best *server
-	var bestCost float64
-	for _, s := range pool {
-		free := s.info.Capacity.Sub(s.used).Sub(reserved[s])
-		if !t.step.spec.Allocation().Fits(free) || !s.info.HasLabel(t.step.spec.Label) || c.atMaxPerServer(t, s) {
+	best, bestCost, fits := -1, 0.0, false
+	for i := pool.firstWithFree(allocation.CPU); i < len(pool.servers); i++ {
+		s := pool.servers[i]
+		if best >= 0 && compareCost(pool.freeShares[i], s, bestCost, pool.servers[best]) > 0 {
+			break
+		}
+		pool.examined++
+		free := s.info.Capacity.Sub(s.used)
+		if !allocation.Fits(free) {
 			continue
 		}
-		if !c.acceptsTask(s, t) {
+		fits = true
+		if !c.mayRun(t, s) {
 			continue
 		}
-		if _, allowed := c.ticketFor(t.step, s); !allowed {
+		if cost := c.cost(t, s, free); best < 0 || compareCost(cost, s, bestCost, pool.servers[best]) < 0 {
+			best, bestCost = i, cost
+		}
+	}
+	if !fits {
+		pool.recordTooLarge(allocation)
+	}
+	return best, best >= 0
+}
+
+// chooseGangServer returns the server for a task of a gang, or nil. The other tasks of the gang have reserved capacity.
+func (c *Core) chooseGangServer(t *task, servers []*server, reserved map[*server]jobs.Resources) *server {
+	if c.limitReached(t) {
+		return nil
+	}
+	var best *server
+	var bestCost float64
+	for _, s := range servers {
+		free := s.info.Capacity.Sub(s.used).Sub(reserved[s])
+		if !t.step.spec.Allocation().Fits(free) || !c.mayRun(t, s) {
 			continue
 		}
-		cost := c.cost(t, s, free)
-		if best == nil || cost < bestCost {
+		if cost := c.cost(t, s, free); best == nil || compareCost(cost, s, bestCost, best) < 0 {
 			best, bestCost = s, cost
 		}
 	}
 	return best
 }
 
+// compareCost orders servers by cost, and those of the same cost by their ids.
+func compareCost(aCost float64, a *server, bCost float64, b *server) int {
+	return cmp.Or(cmp.Compare(aCost, bCost), cmp.Compare(a.info.ID, b.info.ID))
+}
+
+// limitReached reports whether the limit of its workspace keeps a task from starting.
+func (c *Core) limitReached(t *task) bool {
+	ws := t.step.occurrence.job.sub.Workspace
+	if c.usage[ws].Add(t.step.spec.Need).Within(c.limits[ws]) {
+		return false
+	}
+	c.count("wait_limit")
+	return true
+}
+
+// mayRun reports whether a task may run on a server that has enough capacity.
+func (c *Core) mayRun(t *task, s *server) bool {
+	if !s.info.HasLabel(t.step.spec.Label) || c.atMaxPerServer(t, s) || !c.acceptsTask(s, t) {
+		return false
+	}
+	_, allowed := c.ticketFor(t.step, s)
+	return allowed
+}
+
 // atMaxPerServer reports whether a server runs as many tasks of the step as its limit per server allows.
 func (c *Core) atMaxPerServer(t *task, s *server) bool {
 	limit := t.step.spec.MaxPerServer
@@ -286,10 +319,7 @@
 )
 
 func (c *Core) cost(t *task, s *server, free jobs.Resources) float64 {
-	cost := 0.0
-	if s.info.Capacity.CPU > 0 {
-		cost = float64(free.CPU) / float64(s.info.Capacity.CPU)
-	}
+	cost := freeShare(s, free) // the other terms only add to it, which chooseServer relies on
 	if t.avoidServer == s.info.ID {
 		cost += costLastFailure
 	}
--- a/dispatch/ranking.go
+++ b/dispatch/ranking.go
@@ -59,10 +59,16 @@
 	return defaultTaskMS
 }
 
+// maxStackSteps is the number of steps up to which criticalPath allocates nothing; most jobs have fewer than five.
+const maxStackSteps = 8
+
 // criticalPath returns the run time of the longest chain of steps of an occurrence, for all of its steps and for those that are not done.
 func (c *Core) criticalPath(o *occurrence) (total, remaining time.Duration) {
-	totalTo := make([]time.Duration, len(o.steps))
-	remainingTo := make([]time.Duration, len(o.steps))
+	var onStack [2][maxStackSteps]time.Duration // each pass calls this for all jobs
+	totalTo, remainingTo := onStack[0][:], onStack[1][:]
+	if len(o.steps) > maxStackSteps {
+		totalTo, remainingTo = make([]time.Duration, len(o.steps)), make([]time.Duration, len(o.steps))
+	}
 	for i, s := range o.steps {
 		for _, b := range s.spec.After {
 			totalTo[i] = max(totalTo[i], totalTo[b])
--- a/dispatch/schedule_bench_test.go
+++ b/dispatch/schedule_bench_test.go
@@ -9,9 +9,8 @@
 	"example.org/comfreyrouter/ledger"
 )
 
-// overloaded returns a core with four pools of 75 servers, one of which is full and has waiting jobs: a demand peak at the size of the largest
-// deployment.
-func overloaded(waiting int) (*Core, time.Duration) {
+// overloaded returns a core with four pools of equal size, one of which is full and has waiting jobs, as during a demand peak.
+func overloaded(waiting, poolServers int) (*Core, time.Duration) {
 	config := &jobs.Configuration{Version: 1, Services: map[string]jobs.Service{}, Workspaces: []jobs.Workspace{{Name: "w", Weight: 1000}}}
 	for p := range 4 {
 		pool := fmt.Sprintf("pool%d", p)
@@ -24,7 +23,7 @@
 	now := time.Minute
 	c := New(Params{Epoch: 1, Lease: testLease, PredecessorsUntil: now}, ledger.New(), config, now, now.Milliseconds())
 	c.Advance(now, now.Milliseconds(), true)
-	for i := range 300 {
+	for i := range 4 * poolServers {
 		id := fmt.Sprintf("i-%08d", i)
 		c.ServerListed(jobs.Server{
 			ID: id, Service: fmt.Sprintf("pool%d", i%4), Address: id, Machine: "m" + id, Ready: true, BornMS: 1, Labels: []string{"a", "r1"},
@@ -43,7 +42,7 @@
 			ReceivedMS: now.Milliseconds(), Spec: jobs.Spec{Steps: steps},
 		}})
 	}
-	for range 20 {
+	for range 20 + waiting/maxMarkedWaiting {
 		c.Schedule()
 		c.BatchStored(c.TakeBatch())
 		for _, o := range c.TakeOrders() {
@@ -56,9 +55,9 @@
 // BenchmarkScheduleOverload measures a pass over jobs for which there is no capacity. During a demand peak this happens up to a hundred times per
 // second.
 func BenchmarkScheduleOverload(b *testing.B) {
-	for _, waiting := range []int{100, 500, 1500} {
-		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
-			c, now := overloaded(waiting)
+	for _, size := range []struct{ waiting, poolServers int }{{100, 75}, {500, 75}, {1500, 75}, {1500, 600}} {
+		b.Run(fmt.Sprintf("%d jobs, %d servers", size.waiting, size.poolServers), func(b *testing.B) {
+			c, now := overloaded(size.waiting, size.poolServers)
 			b.ReportAllocs()
 			for b.Loop() {
 				c.Advance(now, now.Milliseconds(), true)
@@ -70,7 +69,7 @@
 
 // BenchmarkDemands measures the computation of the services' demand.
 func BenchmarkDemands(b *testing.B) {
-	c, _ := overloaded(500)
+	c, _ := overloaded(500, 75)
 	b.ReportAllocs()
 	for b.Loop() {
 		c.Demands()
@@ -79,7 +78,7 @@
 
 // BenchmarkReport measures the handling of a report of a server with ten runs.
 func BenchmarkReport(b *testing.B) {
-	c, now := overloaded(500)
+	c, now := overloaded(500, 75)
 	var report jobs.Report
 	for key, r := range c.servers["i-00000000"].runs {
 		report.Active = append(report.Active, jobs.RunState{Task: key, Attempt: r.attempt, Percent: 50})
@@ -93,7 +92,7 @@
 
 // BenchmarkServerListed measures the handling of an entry of the server list. Each server writes one every few seconds, and a new dispatcher reads all.
 func BenchmarkServerListed(b *testing.B) {
-	c, _ := overloaded(0)
+	c, _ := overloaded(0, 275)
 	entry := c.servers["i-00000000"].info
 	b.ReportAllocs()
 	for b.Loop() {
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -322,14 +322,3 @@
 	}
 	return false
 }
-
-// awaitsReports reports whether tasks of a service that a predecessor may have started have to wait, because they may run on a server that hasn't
-// reported to this dispatcher.
-func (c *Core) awaitsReports(service string) bool {
-	for _, s := range c.servers {
-		if s.recorded && !s.reconciled && s.info.Service == service {
-			return true
-		}
-	}
-	return false
-}
