--- a/internal/netrpc/codec.go
+++ b/internal/netrpc/codec.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/rpc"
+	"sync"
 	"time"
 )
 
@@ -52,9 +53,15 @@
 	in           *boundedReader
 	dec          *gob.Decoder
 	enc          *gob.Encoder
-	out          *bufio.Writer
 	callSlots    chan struct{} // limits the calls that are served concurrently; nil for a client
 	writeTimeout time.Duration // bounds a write
+	// flushInterval is the minimum time between two flushes. Messages in between are sent together.
+	flushInterval time.Duration
+
+	mu           sync.Mutex // guards the fields below
+	out          *bufio.Writer
+	flushedAt    time.Time
+	flushPending bool
 }
 
 func newCodec(conn net.Conn, limit int64) *codec {
@@ -72,16 +79,18 @@
 	}
 }
 
-// NewClientCodec returns the codec of a client. A write that takes longer than timeout fails and breaks the connection.
-func NewClientCodec(conn net.Conn, timeout time.Duration) rpc.ClientCodec {
+// NewClientCodec returns the codec of a client. A write that takes longer than timeout fails and breaks the connection. Requests that follow each other
+// within flushInterval are sent together; with 0, each is sent at once.
+func NewClientCodec(conn net.Conn, timeout, flushInterval time.Duration) rpc.ClientCodec {
 	c := newCodec(conn, MaxMessageBytes)
-	c.writeTimeout = timeout
+	c.writeTimeout, c.flushInterval = timeout, flushInterval
 	return clientCodec{c}
 }
 
-// NewServerCodec returns the codec of a server whose requests have at most limit bytes.
-func NewServerCodec(conn net.Conn, limit int64) rpc.ServerCodec {
-	c := newCodec(conn, limit)
+// NewServerCodec returns the codec of a server.
+func NewServerCodec(conn net.Conn, b Bounds) rpc.ServerCodec {
+	c := newCodec(conn, b.MaxRequestBytes)
+	c.flushInterval = b.FlushInterval
 	c.callSlots = make(chan struct{}, maxConcurrentCalls)
 	return serverCodec{c}
 }
@@ -93,8 +102,13 @@
 
 func (c *codec) readBody(body any) error { return c.dec.Decode(body) }
 
+// write sends a message: at once, or with the messages that follow within the flush interval. A message that can't be sent later closes the connection,
+// so that its call fails.
 func (c *codec) write(header, body any) error {
-	if err := c.conn.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if err := c.conn.SetWriteDeadline(now.Add(c.flushInterval + c.writeTimeout)); err != nil {
 		return err
 	}
 	if err := c.enc.Encode(header); err != nil {
@@ -103,9 +117,32 @@
 	if err := c.enc.Encode(body); err != nil {
 		return err
 	}
+	wait := c.flushInterval - now.Sub(c.flushedAt)
+	if wait <= 0 && !c.flushPending {
+		return c.flush(now)
+	}
+	if !c.flushPending {
+		c.flushPending = true
+		time.AfterFunc(wait, c.flushLater)
+	}
+	return nil
+}
+
+// flush sends what has been written. c.mu must be held.
+func (c *codec) flush(now time.Time) error {
+	c.flushedAt = now
 	return c.out.Flush()
 }
 
+func (c *codec) flushLater() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.flushPending = false
+	if c.flush(time.Now()) != nil {
+		_ = c.Close()
+	}
+}
+
 // Close closes the connection.
 func (c *codec) Close() error { return c.conn.Close() }
 
--- a/internal/netrpc/serve.go
+++ b/internal/netrpc/serve.go
@@ -22,6 +22,8 @@
 type Bounds struct {
 	MaxRequestBytes int64 // size of one request
 	MaxConnections  int   // open at the same time
+	// FlushInterval is the minimum time between two writes to a connection. Answers that follow each other within it are sent together.
+	FlushInterval time.Duration
 }
 
 // Serve serves the methods of a handler on a listener until ctx ends. Then it closes all connections and waits for the calls in progress.
@@ -47,7 +49,7 @@
 			_ = conn.Close()
 		default:
 			serving.Go(func() {
-				handler.ServeCodec(NewServerCodec(conn, b.MaxRequestBytes))
+				handler.ServeCodec(NewServerCodec(conn, b))
 				open.remove(conn)
 			})
 		}
--- a/peer/client.go
+++ b/peer/client.go
@@ -165,7 +165,7 @@
 		c.recordFailure()
 		return nil, err
 	}
-	return c.setConn(rpc.NewClientWithCodec(netrpc.NewClientCodec(raw, c.timeout)))
+	return c.setConn(rpc.NewClientWithCodec(netrpc.NewClientCodec(raw, c.timeout, 0)))
 }
 
 func (c *Client) currentConn() (*rpc.Client, error) {
--- a/relay/link.go
+++ b/relay/link.go
@@ -21,6 +21,9 @@
 	// of a relay's servers aren't renewed when the relay freezes; leases last several times longer.
 	pingInterval = 400 * time.Millisecond
 	pingTimeout  = 700 * time.Millisecond
+	// flushInterval is the minimum time between two writes to a connection in either direction. A busy dispatcher exchanges hundreds of messages a second
+	// with each relay, and sends and reads several at once instead of each by itself; a task runs for half a second or more.
+	flushInterval = 5 * time.Millisecond
 	// failureBackoff is how long a relay that failed gets no orders.
 	failureBackoff = 3 * time.Second
 )
@@ -106,7 +109,7 @@
 		l.markFailed(nil, err)
 		return nil, err
 	}
-	client = rpc.NewClientWithCodec(netrpc.NewClientCodec(conn, pingTimeout))
+	client = rpc.NewClientWithCodec(netrpc.NewClientCodec(conn, pingTimeout, flushInterval))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
--- a/relay/service.go
+++ b/relay/service.go
@@ -101,7 +101,7 @@
 			return err
 		}
 	}
-	netrpc.Serve(ctx, l, handler, netrpc.Bounds{MaxRequestBytes: maxRequestBytes, MaxConnections: maxConnections}, log)
+	netrpc.Serve(ctx, l, handler, netrpc.Bounds{MaxRequestBytes: maxRequestBytes, MaxConnections: maxConnections, FlushInterval: flushInterval}, log)
 	return nil
 }
 
