Measure the load of services ten times a second

Jobs that were accepted since the last measurement count on top, so an older one admits no more. No test: the interval is a constant.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -10,7 +10,7 @@
 
 const (
 	// measureInterval is the minimum time between two measurements of the services' load.
-	measureInterval = 40 * time.Millisecond
+	measureInterval = 100 * time.Millisecond
 	// admittedTTL is how long an accepted job that hasn't arrived counts towards the load. Its node starts no append of it after appendRetryTimeout of
 	// package jobnode.
 	admittedTTL = 2 * time.Second
