Count the waiting tasks of a step

A scheduling pass looked at each task of each running step to find out that none of them waits, and the load of the services did the same. Steps now count their waiting tasks.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -208,13 +208,7 @@
 // waitingWork returns the server time of the waiting tasks of an occurrence, and the number of servers that those of its ready steps would fill.
 func (c *Core) waitingWork(o *occurrence) (work time.Duration, ready float64) {
 	for _, s := range o.steps {
-		waiting := 0.0
-		for _, t := range s.tasks {
-			if t.run == nil && !t.done {
-				waiting++
-			}
-		}
-		servers := waiting * s.spec.Allocation().DominantShare(c.typicalCapacity)
+		servers := float64(s.waiting) * s.spec.Allocation().DominantShare(c.typicalCapacity)
 		work += time.Duration(servers * c.taskMS(o.job, s.spec.EstimateMS) * float64(time.Millisecond))
 		if s.ready() {
 			ready += servers
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -109,6 +109,7 @@
 	index      int
 	tasks      []*task
 	doneCount  int
+	waiting    int // number of tasks that aren't done and have no run
 	tickets    stepTickets
 }
 
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -62,6 +62,7 @@
 		for k := range s.spec.Count {
 			s.tasks = append(s.tasks, &task{id: jobs.TaskID{Job: j.sub.ID, Occurrence: number, Step: i, Index: k}, step: s})
 		}
+		s.waiting = len(s.tasks)
 		o.remaining += len(s.tasks)
 		o.steps = append(o.steps, s)
 	}
@@ -96,6 +97,9 @@
 
 func (t *task) markDone() {
 	if !t.done {
+		if t.run == nil {
+			t.step.waiting--
+		}
 		t.done = true
 		t.step.doneCount++
 		t.step.occurrence.remaining--
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -64,7 +64,7 @@
 func (c *Core) hasStartable(j *job) bool {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			if s.doneCount < len(s.tasks) && s.ready() {
+			if s.waiting > 0 && s.ready() {
 				for _, t := range s.tasks {
 					if c.startable(t) {
 						return true
@@ -119,7 +119,7 @@
 func (c *Core) placeJob(j *job, pool *serverPool) {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			if s.doneCount < len(s.tasks) && s.ready() {
+			if s.waiting > 0 && s.ready() {
 				c.placeStep(s, pool)
 			}
 		}
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -47,6 +47,9 @@
 // addRun adds a run to the usage of its server and its workspace.
 func (c *Core) addRun(r *run) {
 	t, s := r.task, r.server
+	if !t.done {
+		t.step.waiting--
+	}
 	t.run = r
 	s.runs[t.id.String()] = r
 	s.used = s.used.Add(t.step.spec.Allocation())
@@ -70,6 +73,9 @@
 	c.usage[j.sub.Workspace] = c.usage[j.sub.Workspace].Sub(t.step.spec.Need)
 	if t.run == r {
 		t.run = nil
+		if !t.done {
+			t.step.waiting++
+		}
 	}
 	c.stopGang(t)
 	c.finishIfEnded(j)
