Keep a long-running job after two servers have ended under one of its tasks

Cause: a task was the only recent one on a server that was replaced at 6.2 s, started again elsewhere, and that server was taken away at 10.4 s, before the 5 s after which a run is no cause. Twice the only possible cause, its job was given up (7013: failed, crashes 2) and the tasks that were serving were stopped. A task of a long-running job now needs a third crash, which the platform's limit allows. Evidence: the trace above; TestTwoServerEndsKeepALongRunningJob failed before.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -19,7 +19,7 @@
 	// maxCauseAge is the age from which on a run isn't the cause of a crash: a task that crashes servers does so after each start.
 	maxCauseAge = 5 * time.Second
 	// crashesToGiveUp is the number of crashed servers with which a task is given up if it is the only possible cause of one crash and the likely cause
-	// of another one. Two are enough if it is the only possible cause of both.
+	// of another one. Two are enough if it is the only possible cause of both and ends by itself.
 	crashesToGiveUp = 3
 	// maxCrashes is the number of crashed servers with which a task is given up in any case. The platform allows two starts after the third crash, and
 	// crashes that nobody saw during a change of dispatcher may come on top.
@@ -223,6 +223,9 @@
 // crashesServers reports whether a task is given up because servers have crashed under it.
 func (t *task) crashesServers() bool {
 	n, likely, only := len(t.crashes), t.countCrashes(ledger.LikelyCause), t.countCrashes(ledger.OnlyCause)
+	if t.step.spec.LongRunning && n < crashesToGiveUp {
+		return false // giving it up also ends the tasks of its job that are serving, and two servers may end in its first seconds by chance
+	}
 	return n >= maxCrashes || only > 1 || n >= crashesToGiveUp && likely > 1 && only > 0
 }
 
--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -300,3 +300,16 @@
 	assert.Equal(t, jobs.Running, sim.phase(newJob))
 	assert.Empty(t, sim.violations)
 }
+
+// TestTwoServerEndsKeepALongRunningJob guards against ending the serving tasks of a job because two servers have ended under one of its tasks by chance.
+func TestTwoServerEndsKeepALongRunningJob(t *testing.T) {
+	sim := newSimulation(71, 4)
+	sim.submit(oldJob, longRunningStep())
+	sim.run(time.Second)
+	tsk := sim.core.jobs[oldJob].occurrences[0].steps[0].tasks[0]
+	for n := int64(1); n <= crashesToGiveUp; n++ {
+		require.False(t, sim.core.jobs[oldJob].failed, "%d crashes", n-1)
+		sim.core.recordCrash(tsk, ledger.Crash{Attempt: n, Evidence: ledger.OnlyCause})
+	}
+	assert.True(t, tsk.crashesServers())
+}
