--- a/review/kit/cases.go
+++ b/review/kit/cases.go
@@ -76,46 +76,6 @@
 	return f.doubled(), nil
 }
 
-// caseCrashes crashes the worker of a job's only task, and the next worker on which it starts. No run of the task ends as failed.
-func caseCrashes(f *fleet, trouble bool) ([]string, error) {
-	const id = "00000000000000b1"
-	f.runTime = func(string) time.Duration { return 5 * time.Second }
-	if err := f.start(); err != nil {
-		return nil, err
-	}
-	time.Sleep(2 * time.Second)
-	if err := f.submit(id, step(1, 4000, 5000, nil)); err != nil {
-		return nil, err
-	}
-	for n := 1; trouble && n <= 2; n++ {
-		if err := f.await(fmt.Sprintf("run %d has started", n), 15*time.Second, func() bool { return len(f.allSpans()) == n }); err != nil {
-			f.rec.add("%v", err)
-			break
-		}
-		time.Sleep(time.Second)
-		if err := f.serverOf(f.allSpans()[n-1].server).crashFor(1500 * time.Millisecond); err != nil {
-			return nil, err
-		}
-	}
-	end := time.Now().Add(30 * time.Second)
-	phase := ""
-	for time.Now().Before(end) && phase != "complete" && phase != "failed" {
-		time.Sleep(200 * time.Millisecond)
-		phase = f.phase(f.nodes[0], id)
-	}
-	f.rec.add("GET %s at %s: %s", id, f.nodes[0].name, phase)
-	failed := 0
-	for _, sp := range f.allSpans() {
-		if sp.how == "failed" {
-			failed++
-		}
-	}
-	if phase == "failed" {
-		return []string{fmt.Sprintf("LOST: the job is shown as failed after %d ends as failed, of %d that max_attempts allows", failed, maxAttempts)}, nil
-	}
-	return nil, nil
-}
-
 func (f *fleet) serverOf(id string) *server {
 	for _, s := range f.servers {
 		if s.id == id {
--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -24,7 +24,6 @@
 // cases are the cases by name. Each returns a list of violations of its rule.
 var cases = map[string]func(f *fleet, trouble bool) ([]string, error){
 	"reborn":      caseReborn,
-	"crashes":     caseCrashes,
 	"resurrected": caseResurrected,
 	"checkpoints": caseCheckpoints,
 	"gang-end":    caseGangEnd,
