Show a lasting task that never starts again after its worker was lost

Tried: one worker is lost for good two seconds after a lasting job has started; the workers that may run its task have room and run short tasks.

--- a/review/kit/fleet.go
+++ b/review/kit/fleet.go
@@ -56,10 +56,12 @@
 	machines     string
 	nextPort     int
 	gangs        *gangs
+	rackSize     int                             // servers in a rack
 	kinds        map[int]string                  // of servers that aren't of kind a, by their number
 	runTime      func(task string) time.Duration // work of a task; 0: it lasts until it is stopped
 
 	mu      sync.Mutex
+	gone    *server          // lost for good with its machine
 	cutZone string           // zone that is cut off from the others and from the store
 	healed  chan struct{}    // closed when the cut ends
 	holders map[int64]string // zone of the dispatcher of each epoch
@@ -68,7 +70,7 @@
 }
 
 func newFleet(rec *recorder) *fleet {
-	f := &fleet{rec: rec, store: keyedstore.New(), holders: map[int64]string{}, ended: make(chan struct{})}
+	f := &fleet{rec: rec, store: keyedstore.New(), holders: map[int64]string{}, rackSize: 4, ended: make(chan struct{})}
 	f.runTime = func(string) time.Duration { return time.Second }
 	f.gangs = newGangs(f)
 	return f
--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -27,6 +27,7 @@
 	"resurrected": caseResurrected,
 	"checkpoints": caseCheckpoints,
 	"gang-end":    caseGangEnd,
+	"lasting":     caseLasting,
 	"many-ends":   caseManyEnds,
 }
 
--- a/review/kit/platform.go
+++ b/review/kit/platform.go
@@ -132,8 +132,14 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	f.mu.Lock()
+	gone := f.gone
+	f.mu.Unlock()
 	rows := []map[string]any{}
 	for _, s := range f.servers {
+		if s == gone {
+			continue
+		}
 		rows = append(rows, map[string]any{
 			"host_machine": s.machine, "pool": serviceName, "phase": "up", "zone": s.zone, "labels": s.labels(), "room": room(), "id": s.id,
 		})
--- a/review/kit/server.go
+++ b/review/kit/server.go
@@ -76,7 +76,7 @@
 }
 
 func newServer(f *fleet, id, zone string, i int) *server {
-	return &server{fleet: f, id: id, zone: zone, machine: fmt.Sprintf("m-%02d", i), rack: i / 4, kind: "a"}
+	return &server{fleet: f, id: id, zone: zone, machine: fmt.Sprintf("m-%02d", i), rack: i / f.rackSize, kind: "a"}
 }
 
 func (s *server) labels() []string { return []string{s.kind, fmt.Sprintf("r1-%d", s.rack)} }
