--- a/review/kit/cases.go
+++ b/review/kit/cases.go
@@ -180,12 +180,12 @@
 	return append(f.doubled(), f.afterDone()...), nil
 }
 
-// caseCheckpoints cuts off the worker of one member of a gang that saves its progress.
+// caseCheckpoints cuts off the worker of one member of a gang that saves its progress. It shows a departure from the protocol, and is no case.
 func caseCheckpoints(f *fleet, trouble bool) ([]string, error) {
 	const id = "00000000000000d1"
 	f.runTime = func(string) time.Duration { return 12 * time.Second }
 	f.gangs.job, f.gangs.size, f.gangs.saves = id, 4, true
-	return f.runGang(id, map[string]any{"gang": true, "checkpointing": true}, func() error {
+	o, err := f.runGang(id, map[string]any{"gang": true, "checkpointing": true}, func() error {
 		if !trouble {
 			return nil
 		}
@@ -196,6 +196,10 @@
 		s.setCut(false)
 		return nil
 	})
+	if err != nil || f.gangs.mixed == 0 {
+		return nil, err
+	}
+	return []string{fmt.Sprintf("PROTOCOL: %d runs of the gang had members with different checkpoints; the job is %s", f.gangs.mixed, o.phase)}, nil
 }
 
 // caseGangEnd cuts the worker of one member of a gang off shortly before the gang ends, and crashes it behind the cut after that.
@@ -203,7 +207,7 @@
 	const id = "00000000000000e1"
 	f.runTime = func(string) time.Duration { return 4 * time.Second }
 	f.gangs.job, f.gangs.size = id, 4
-	return f.runGang(id, map[string]any{"gang": true}, func() error {
+	o, err := f.runGang(id, map[string]any{"gang": true}, func() error {
 		if !trouble {
 			return nil
 		}
@@ -218,32 +222,47 @@
 		s.setCut(false)
 		return nil
 	})
+	if err != nil || o.phase == "complete" || o.idle < lostAfter {
+		return nil, err
+	}
+	return []string{fmt.Sprintf("LOST: the job is shown as %s, and nothing of it ran for %.1f s on end, with room for it on two workers or more", o.phase, o.idle.Seconds())}, nil
 }
 
-// runGang hands a gang in, brings the disruption about once it works, and looks finish_s and a while later at what has become of it.
-func (f *fleet) runGang(id string, more map[string]any, disrupt func() error) ([]string, error) {
+// runGang hands a gang in, brings the disruption about once it works, and watches then what becomes of it for three times finish_s.
+func (f *fleet) runGang(id string, more map[string]any, disrupt func() error) (gangOutcome, error) {
+	var o gangOutcome
 	if err := f.start(); err != nil {
-		return nil, err
+		return o, err
 	}
 	time.Sleep(2 * time.Second)
 	// A worker has room for one member only.
 	if err := f.submit(id, step(f.gangs.size, 40000, 5000, more)); err != nil {
-		return nil, err
+		return o, err
 	}
 	if err := f.await("the gang has started", 10*time.Second, func() bool { return len(f.allSpans()) == f.gangs.size }); err != nil {
-		return nil, err
+		return o, err
 	}
 	if err := disrupt(); err != nil {
-		return nil, err
-	}
-	done := func() bool { return f.phase(f.nodes[0], id) == "complete" }
-	if err := f.await("the job is complete", 3*finalWait, done); err != nil {
-		f.rec.add("%v", err)
+		return o, err
 	}
-	phase := f.phase(f.nodes[0], id)
-	f.rec.add("GET %s at %s: %s; %d runs ended alone, %d runs had different checkpoints", id, f.nodes[0].name, phase, f.gangs.alone, f.gangs.mixed)
-	if phase != "complete" {
-		return []string{fmt.Sprintf("LOST: %s after the last disruption the job is shown as %s, and no gang of it works", 3*finalWait, phase)}, nil
+	var idleSince time.Time
+	for begin := time.Now(); time.Since(begin) < 3*finalWait && o.phase != "complete"; time.Sleep(100 * time.Millisecond) {
+		o.phase = f.phase(f.nodes[0], id)
+		switch {
+		case len(f.running(id)) > 0 || f.serversWithRoom(id) < 2 || time.Since(begin) < finalWait:
+			idleSince = time.Time{}
+		case idleSince.IsZero():
+			idleSince = time.Now()
+		default:
+			o.idle = max(o.idle, time.Since(idleSince))
+		}
 	}
-	return nil, nil
+	f.rec.add("GET %s at %s: %s; nothing of it ran for %.1f s on end; %d runs had different checkpoints", id, f.nodes[0].name, o.phase, o.idle.Seconds(), f.gangs.mixed)
+	return o, nil
+}
+
+// gangOutcome is what has become of a gang.
+type gangOutcome struct {
+	phase string
+	idle  time.Duration // longest span, from finish_s after the disruption on, without a run of it, with room on two workers or more
 }
--- a/review/kit/fleet.go
+++ b/review/kit/fleet.go
@@ -10,6 +10,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -61,16 +63,17 @@
 	runTime      func(task string) time.Duration // work of a task; 0: it lasts until it is stopped
 
 	mu      sync.Mutex
-	gone    *server          // lost for good with its machine
-	cutZone string           // zone that is cut off from the others and from the store
-	healed  chan struct{}    // closed when the cut ends
-	holders map[int64]string // zone of the dispatcher of each epoch
+	gone    *server           // lost for good with its machine
+	sizes   map[string][]size // of the tasks of each step, by job
+	cutZone string            // zone that is cut off from the others and from the store
+	healed  chan struct{}     // closed when the cut ends
+	holders map[int64]string  // zone of the dispatcher of each epoch
 	ended   chan struct{}
 	down    atomic.Bool
 }
 
 func newFleet(rec *recorder) *fleet {
-	f := &fleet{rec: rec, store: keyedstore.New(), holders: map[int64]string{}, rackSize: 4, ended: make(chan struct{})}
+	f := &fleet{rec: rec, store: keyedstore.New(), holders: map[int64]string{}, sizes: map[string][]size{}, rackSize: 4, ended: make(chan struct{})}
 	f.runTime = func(string) time.Duration { return time.Second }
 	f.gangs = newGangs(f)
 	return f
@@ -414,8 +417,35 @@
 	return resp.StatusCode, out.String()
 }
 
+// size is what a task requests.
+type size struct{ cpu, memMB int }
+
+// setSizes records what the tasks of a job request, which workers know from its spec.
+func (f *fleet) setSizes(id string, steps []map[string]any) {
+	var sizes []size
+	for _, s := range steps {
+		sizes = append(sizes, size{s["cpu"].(int), s["mem_mb"].(int)})
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sizes[id] = sizes
+}
+
+// sizeOf returns what a task, named ID.K.STEP.INDEX, requests.
+func (f *fleet) sizeOf(task string) size {
+	parts := strings.Split(task, ".")
+	i, err := strconv.Atoi(parts[2])
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if sizes := f.sizes[parts[0]]; err == nil && i < len(sizes) {
+		return sizes[i]
+	}
+	return size{}
+}
+
 // submit hands a job in, at another node each time, until it is accepted.
 func (f *fleet) submit(id string, steps ...map[string]any) error {
+	f.setSizes(id, steps)
 	body, err := json.Marshal(map[string]any{"spec": "work of " + id, "pipeline": steps})
 	if err != nil {
 		return err
--- a/review/kit/lasting.go
+++ b/review/kit/lasting.go
@@ -100,18 +100,18 @@
 	return found
 }
 
-// serversWithRoom returns how many workers that run no task of the lasting job have room for one.
+// serversWithRoom returns how many workers that run no task of a job have room for one of its first step.
 func (f *fleet) serversWithRoom(id string) int {
 	n := 0
+	task := f.sizeOf(id + ".0.0.0")
 	for _, s := range f.servers {
 		s.mu.Lock()
-		used, blocked := 0, !s.up
-		for task := range s.active {
-			used += shortCPU
-			blocked = blocked || strings.HasPrefix(task, id)
+		free := s.up && s.fits(task)
+		for other := range s.active {
+			free = free && !strings.HasPrefix(other, id)
 		}
 		s.mu.Unlock()
-		if !blocked && roomCPU-used >= lastingCPU {
+		if free {
 			n++
 		}
 	}
@@ -138,12 +138,14 @@
 			return
 		case <-time.After(180 * time.Millisecond):
 		}
-		body, err := json.Marshal(map[string]any{"spec": "short", "pipeline": []any{step(4, shortCPU, 900, spread)}})
+		id, steps := fmt.Sprintf("%016x", 0xabc000+i), []map[string]any{step(4, shortCPU, 900, spread)}
+		f.setSizes(id, steps)
+		body, err := json.Marshal(map[string]any{"spec": "short", "pipeline": steps})
 		if err != nil {
 			f.rec.add("%v", err)
 			return
 		}
-		if status, _ := f.call(f.nodes[i%len(f.nodes)], http.MethodPost, fmt.Sprintf("%016x", 0xabc000+i), body); status == http.StatusOK {
+		if status, _ := f.call(f.nodes[i%len(f.nodes)], http.MethodPost, id, body); status == http.StatusOK {
 			accepted++
 		}
 	}
--- a/review/kit/platform.go
+++ b/review/kit/platform.go
@@ -140,8 +140,14 @@
 		if s == gone {
 			continue
 		}
+		s.mu.Lock()
+		phase := "up"
+		if !s.up {
+			phase = "down"
+		}
+		s.mu.Unlock()
 		rows = append(rows, map[string]any{
-			"host_machine": s.machine, "pool": serviceName, "phase": "up", "zone": s.zone, "labels": s.labels(), "room": room(), "id": s.id,
+			"host_machine": s.machine, "pool": serviceName, "phase": phase, "zone": s.zone, "labels": s.labels(), "room": room(), "id": s.id,
 		})
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/review/kit/server.go
+++ b/review/kit/server.go
@@ -143,7 +143,7 @@
 	return s.boot()
 }
 
-// setCut cuts the server off from all nodes and the store, or ends that. It runs on meanwhile.
+// setCut cuts the server off from all nodes, or ends that. It runs on meanwhile, and reaches the store.
 func (s *server) setCut(on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -182,7 +182,7 @@
 func (s *server) beat() {
 	s.mu.Lock()
 	s.lastBeat = time.Now()
-	if !s.up || s.cut != nil || s.fleet.isCutOff(s.zone) || s.fleet.down.Load() {
+	if !s.up || s.fleet.isCutOff(s.zone) || s.fleet.down.Load() {
 		s.mu.Unlock()
 		return
 	}
@@ -298,6 +298,13 @@
 		reason = "late"
 	case o.Attempt <= s.newest[o.Task] || r != nil && o.Attempt < r.attempt:
 		reason = "old"
+	case r != nil: // an earlier run of the task is at work here
+		s.mu.Unlock()
+		s.fleet.rec.add("server %s is to start %s run %d beside run %d", s.id, o.Task, o.Attempt, r.attempt)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case !s.fits(s.fleet.sizeOf(o.Task)):
+		reason = "room"
 	default:
 		s.begin(o)
 	}
@@ -313,6 +320,16 @@
 	s.reply(w, http.StatusOK, nil)
 }
 
+// fits reports whether a task of a size fits beside all that runs here. The lock must be held.
+func (s *server) fits(task size) bool {
+	for name := range s.active {
+		other := s.fleet.sizeOf(name)
+		task.cpu += other.cpu
+		task.memMB += other.memMB
+	}
+	return task.cpu <= roomCPU && task.memMB <= roomMB
+}
+
 // begin begins a run. The lock must be held.
 func (s *server) begin(o order) {
 	r := &run{task: o.Task, attempt: o.Attempt, fence: o.Fence, text: o.Text, started: time.Now(), total: s.fleet.runTime(o.Task), checkpnt: o.Checkpoint}
