Keep waiting for servers that restarted before a takeover

Cause: the ledger's record of a server kept naming the incarnation in which the server was first recorded. The new dispatcher began with that one, took the present one in the server list for a restart that had just happened, and dropped the wait for the predecessor's leases.

Change: a restarted server gets no work before the ledger names its present incarnation, with its address and machine. A restart that only the server list shows doesn't end the wait for a server that hasn't reported. A record that was being stored when its server restarted doesn't count for the new incarnation.

--- a/dispatch/availability.go
+++ b/dispatch/availability.go
@@ -38,7 +38,7 @@
 	if s == nil {
 		return true
 	}
-	if s.recorded && !s.reconciled {
+	if s.awaited() {
 		return false // a predecessor may have started tasks there
 	}
 	if s.storedEnd < s.lastEnd {
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -150,8 +150,11 @@
 	info                jobs.Server
 	draining            bool          // its entry said so
 	listed              bool          // it is in the platform's server list
-	recorded            bool          // the ledger has a record that it may have work
+	inherited           bool          // a predecessor may have given it work
+	inLedger            bool          // the ledger has a record under its id, or is about to have one
+	recorded            bool          // the ledger has a record of this incarnation, which may thus have work
 	recording           bool          // that record has been taken to be stored
+	restarts            int           // number of restarts under its id that this dispatcher has seen
 	reconciled          bool          // its runs are known: it has reported to this dispatcher, or its runs were dropped
 	unresponsive        bool          // the last renewal got no answer
 	terminated          bool          // its incarnation has ended
@@ -263,7 +266,7 @@
 	c.SetConfiguration(config)
 	for id, s := range l.Servers {
 		srv := c.newServer(jobs.Server{ID: id, Service: s.Service, Address: s.Address, BornMS: s.BornMS, Machine: s.Machine})
-		srv.recorded = true
+		srv.inherited, srv.inLedger, srv.recorded = true, true, true
 		srv.leasesExpireAt = c.leaseExpiry(p.PredecessorsUntil)
 	}
 	for id, e := range l.Jobs {
@@ -298,7 +301,7 @@
 // dispatcher, because these were granted by predecessors only.
 func (c *Core) PredecessorsStoppedBy(at time.Duration) {
 	for _, s := range c.servers {
-		if s.recorded && !s.reconciled && s.recvAt == 0 {
+		if s.awaited() && s.recvAt == 0 {
 			s.leasesExpireAt = min(s.leasesExpireAt, c.leaseExpiry(at))
 		}
 	}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -243,7 +243,7 @@
 type Batch struct {
 	Records    []ledger.Record
 	ends       map[string]int64 // newest end that the records take into account, by server
-	servers    []string         // servers whose record is in the batch
+	servers    []incarnation    // servers whose record is in the batch
 	startMarks []string         // jobs whose tasks may start once the batch is stored
 	crashed    []*task          // tasks whose last crash is in the batch
 }
@@ -277,10 +277,10 @@
 		if s.lastEnd > s.storedEnd {
 			b.ends[id] = s.lastEnd
 		}
-		if !s.recorded && !s.recording && s.listed && s.info.Ready {
-			s.recording = true
-			b.servers = append(b.servers, id)
-			b.Records = append(b.Records, ledger.ServerRecord(id, ledger.Server{Service: s.info.Service, Address: s.info.Address, BornMS: s.info.BornMS, Machine: s.info.Machine}))
+		if !s.recorded && !s.recording && s.listed && s.info.Ready && s.described() {
+			s.recording, s.inLedger = true, true
+			b.servers = append(b.servers, s.incarnation())
+			b.Records = append(b.Records, ledger.ServerRecord(id, ledger.Server{Service: s.info.Service, Address: s.info.Address, BornMS: s.bornMS, Machine: s.info.Machine}))
 		}
 	}
 	return b
@@ -302,9 +302,9 @@
 			s.storedEnd = max(s.storedEnd, min(lastEnd, s.lastEnd))
 		}
 	}
-	for _, id := range b.servers {
-		if s := c.servers[id]; s != nil {
-			s.recorded = true
+	for _, i := range b.servers {
+		if c.isCurrent(i) {
+			i.server.recorded = true
 		}
 	}
 	return len(b.startMarks)+len(b.servers)+len(b.crashed) > 0
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -34,7 +34,7 @@
 		if len(waiting[service]) == 0 {
 			continue
 		}
-		if s.recorded && !s.reconciled {
+		if s.awaited() {
 			awaiting[service] = true
 		}
 		if !c.schedulable(s) {
--- a/dispatch/renewal_test.go
+++ b/dispatch/renewal_test.go
@@ -36,7 +36,7 @@
 	sim.core.Advance(sim.now, sim.wall(), true)
 	sim.core.RenewalUnanswered(r.server.info.ID, sent, time.Second)
 	sim.core.Schedule()
-	sim.send()
+	sim.send(sim.core)
 	assert.Equal(t, 1, sim.starts, "nothing starts before another renewal")
 	sim.run(time.Second)
 	assert.Equal(t, 1, sim.starts)
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -15,6 +15,22 @@
 	return s
 }
 
+// incarnation identifies an incarnation of a server among those that this dispatcher has seen.
+type incarnation struct {
+	server   *server
+	restarts int
+}
+
+func (s *server) incarnation() incarnation { return incarnation{s, s.restarts} }
+
+// isCurrent reports whether an incarnation has neither ended nor restarted, as far as this dispatcher knows.
+func (c *Core) isCurrent(i incarnation) bool {
+	return c.servers[i.server.info.ID] == i.server && i.server.restarts == i.restarts
+}
+
+// described reports whether the last entry of a server describes its present incarnation. Its reports may name a later one than the server list.
+func (s *server) described() bool { return s.info.BornMS == 0 || s.info.BornMS == s.bornMS }
+
 // addToMachine and removeFromMachine keep the index of servers by machine.
 func (c *Core) addToMachine(s *server) {
 	if m := s.info.Machine; m != "" {
@@ -98,13 +114,23 @@
 	}
 }
 
-// serverRestarted handles a new incarnation of a server with the same id. Everything that ran on it is lost.
+// awaited reports whether a predecessor may have started tasks on a server that hasn't reported to this dispatcher.
+func (s *server) awaited() bool { return s.inherited && !s.reconciled }
+
+// serverRestarted handles a new incarnation of a server with the same id. Everything that ran on the previous one is lost. An awaited server stays
+// awaited: the restart may have been long ago, and a predecessor may have started tasks on the new incarnation since.
 func (c *Core) serverRestarted(s *server, bornMS int64) {
 	c.reportProblem(s, "server_reborn")
 	c.serverCrashed(s)
+	awaited := s.awaited()
 	c.dropRuns(s)
+	s.reconciled = !awaited
+	if !awaited {
+		s.leasesExpireAt = 0
+	}
 	s.bornMS, s.lastEnd, s.storedEnd, s.clockMS, s.recvAt = bornMS, 0, 0, 0, 0
-	s.leasesExpireAt, s.consecutiveFailures = 0, 0
+	s.recorded, s.recording, s.consecutiveFailures = false, false, 0
+	s.restarts++
 }
 
 // serverTerminated records that the incarnation of a server has ended.
@@ -118,7 +144,7 @@
 func (c *Core) removeServer(s *server) {
 	delete(c.servers, s.info.ID)
 	c.removeFromMachine(s)
-	if s.recorded || s.recording {
+	if s.inLedger {
 		c.records = append(c.records, ledger.ServerRemovedRecord(s.info.ID))
 	}
 }
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -39,6 +39,7 @@
 	reported    int64                   // number of the newest end that was reported
 	failing     bool
 	stalled     bool // its tasks make no progress
+	behindCut   bool // the cut-off predecessor reaches it
 }
 
 func (s *fakeServer) clock(now time.Duration) int64 {
@@ -65,32 +66,46 @@
 type delayedOrder struct {
 	at    time.Duration
 	order Order
+	epoch int64
 }
 
+// listEntry is a server's entry in the platform's server list.
+type listEntry struct {
+	info      jobs.Server
+	writtenAt time.Duration
+}
+
+// entryTTL is how long the entry of a silent server stays in the list: three heartbeat intervals.
+const entryTTL = 4500 * time.Millisecond
+
 // simulation is a fleet with one dispatcher at a time. It checks every start against the users' rules.
 type simulation struct {
-	rng           *rand.Rand
-	now           time.Duration
-	servers       map[string]*fakeServer
-	ledger        *ledger.Ledger
-	offset        int64
-	core          *Core
-	epoch         int64
-	config        *jobs.Configuration
-	steps         map[string]jobs.Step // by task
-	specs         map[string]jobs.Submission
-	done          map[string]bool // tasks and runs whose end was acknowledged
-	failedRuns    map[string]int
-	listedDone    map[string]bool // tasks of which a successful run was reported
-	unstored      []Batch
-	storeDown     bool // nothing can be stored
-	delayedOrders []delayedOrder
-	lossRate      float64                          // share of orders that stay unanswered
-	longPolls     map[string]*longPoll             // outstanding renewals by server, if renewals wait for ends and may be lost; otherwise nil
-	endDelays     []time.Duration                  // from the end of each run to its report
-	onStart       func(s *fakeServer, task string) // if set, called for each start that a server carries out
-	violations    []string
-	starts        int
+	rng     *rand.Rand
+	now     time.Duration
+	servers map[string]*fakeServer
+	entries map[string]listEntry // the platform's server list
+	ledger  *ledger.Ledger
+	offset  int64
+	core    *Core
+	epoch   int64
+	// predecessor is the dispatcher that a cut has separated from the store and from its successor. It gives orders until predecessorUntil.
+	predecessor      *Core
+	predecessorUntil time.Duration
+	config           *jobs.Configuration
+	steps            map[string]jobs.Step // by task
+	specs            map[string]jobs.Submission
+	done             map[string]bool // tasks and runs whose end was acknowledged
+	failedRuns       map[string]int
+	listedDone       map[string]bool // tasks of which a successful run was reported
+	unstored         []Batch
+	storeDown        bool // nothing can be stored
+	delayedOrders    []delayedOrder
+	lossRate         float64                          // share of orders that stay unanswered
+	longPolls        map[string]*longPoll             // outstanding renewals by server, if renewals wait for ends and may be lost; otherwise nil
+	endDelays        []time.Duration                  // from the end of each run to its report
+	onStart          func(s *fakeServer, task string) // if set, called for each start that a server carries out
+	violations       []string
+	starts           int
 }
 
 const (
@@ -100,7 +115,7 @@
 
 func newSimulation(seed uint64, servers int) *simulation {
 	sim := &simulation{
-		rng: rand.New(rand.NewPCG(seed, 1)), now: time.Minute, servers: map[string]*fakeServer{}, ledger: ledger.New(),
+		rng: rand.New(rand.NewPCG(seed, 1)), now: time.Minute, servers: map[string]*fakeServer{}, entries: map[string]listEntry{}, ledger: ledger.New(),
 		config: &jobs.Configuration{
 			Version: 1, Routes: []jobs.Route{{Name: "q", Service: "pool"}}, Services: map[string]jobs.Service{"pool": {Name: "pool"}},
 			Workspaces: []jobs.Workspace{{Name: "w", Limit: jobs.Resources{CPU: 6000}}},
@@ -153,10 +168,12 @@
 	sim.violations = append(sim.violations, fmt.Sprintf("at %v: ", sim.now)+fmt.Sprintf(format, args...))
 }
 
-// submit submits a job.
-func (sim *simulation) submit(id string, steps ...jobs.Step) {
+// submit submits a job of the workspace w.
+func (sim *simulation) submit(id string, steps ...jobs.Step) { sim.submitFor("w", id, steps...) }
+
+func (sim *simulation) submitFor(workspace, id string, steps ...jobs.Step) {
 	s := jobs.Submission{
-		ID: id, Route: "q", Service: "pool", Workspace: "w", MaxAttempts: 3, SlackFactor: 1.6, TargetMS: 600, ReceivedMS: sim.wall(),
+		ID: id, Route: "q", Service: "pool", Workspace: workspace, MaxAttempts: 3, SlackFactor: 1.6, TargetMS: 600, ReceivedMS: sim.wall(),
 		Spec: jobs.Spec{Text: "x", Steps: steps},
 	}
 	sim.specs[id] = s
@@ -187,17 +204,12 @@
 		sim.advanceTasks(sim.servers[id])
 	}
 	for len(sim.delayedOrders) > 0 && sim.delayedOrders[0].at <= sim.now {
-		sim.execute(sim.delayedOrders[0].order)
+		sim.execute(sim.delayedOrders[0].epoch, sim.delayedOrders[0].order)
 		sim.delayedOrders = sim.delayedOrders[1:]
 	}
+	sim.stepPredecessor()
 	sim.core.Advance(sim.now, sim.wall(), true)
-	for _, id := range sim.serverIDs() {
-		if s := sim.servers[id]; s.up && !s.cutOff {
-			sim.core.ServerListed(s.info)
-		} else if !s.up {
-			sim.core.ServerUnlisted(id)
-		}
-	}
+	sim.listServers()
 	for _, id := range slices.Sorted(slices.Values(sim.core.Servers())) {
 		if sim.longPolls != nil {
 			sim.poll(id)
@@ -206,10 +218,64 @@
 		sim.renew(id)
 	}
 	sim.core.Schedule()
-	sim.send()
+	sim.send(sim.core)
 	sim.store()
 }
 
+// listServers updates the platform's server list and passes it to the dispatcher. The entry of a server that is cut off or has been lost stays for a
+// while.
+func (sim *simulation) listServers() {
+	for id, s := range sim.servers {
+		switch {
+		case !s.up:
+			sim.entries[id] = listEntry{} // it has left
+		case !s.cutOff:
+			sim.entries[id] = listEntry{s.info, sim.now}
+		}
+	}
+	for _, id := range sortedKeys(sim.entries) {
+		if e := sim.entries[id]; sim.now-e.writtenAt < entryTTL {
+			sim.core.ServerListed(e.info)
+			continue
+		}
+		delete(sim.entries, id)
+		sim.core.ServerUnlisted(id)
+	}
+}
+
+// cutOffDispatcher separates the dispatcher and some servers from the store and from the other servers. The dispatcher goes on giving orders to the
+// servers on its side for a while; another one takes over at once.
+func (sim *simulation) cutOffDispatcher(servers ...*fakeServer) {
+	for _, s := range sim.servers {
+		s.behindCut = false
+	}
+	for _, s := range servers {
+		s.cutOff, s.behindCut = true, true
+	}
+	sim.predecessor, sim.predecessorUntil = sim.core, sim.now+testSilence
+	sim.takeOver()
+}
+
+// stepPredecessor lets the cut-off predecessor renew leases and give orders. It can't store anything.
+func (sim *simulation) stepPredecessor() {
+	p := sim.predecessor
+	if p == nil || sim.now >= sim.predecessorUntil {
+		sim.predecessor = nil
+		return
+	}
+	p.Advance(sim.now, sim.wall(), false)
+	for _, id := range slices.Sorted(slices.Values(p.Servers())) {
+		r, _ := p.NextRenewal(id)
+		if s := sim.servers[id]; s != nil && s.up && s.behindCut {
+			sim.answerRenewal(p, s, r)
+		} else {
+			p.RenewalUnanswered(id, sim.now-tick, tick)
+		}
+	}
+	p.Schedule()
+	sim.send(p)
+}
+
 func (sim *simulation) serverIDs() []string {
 	ids := make([]string, 0, len(sim.servers))
 	for id := range sim.servers {
@@ -259,7 +325,7 @@
 		sim.core.RenewalUnanswered(id, sim.now-tick, tick)
 		return
 	}
-	sim.answerRenewal(s, r)
+	sim.answerRenewal(sim.core, s, r)
 }
 
 // longPoll is a renewal whose answer waits for the end of a run.
@@ -289,16 +355,16 @@
 		}
 	case waited >= p.renewal.Wait || s.number > p.renewal.AckCursor:
 		delete(sim.longPolls, id)
-		sim.answerRenewal(s, p.renewal)
+		sim.answerRenewal(sim.core, s, p.renewal)
 	}
 }
 
 // answerRenewal carries out a renewal on a server and reports the server's runs and ends to the dispatcher.
-func (sim *simulation) answerRenewal(s *fakeServer, r Renewal) {
-	if s.fence > sim.epoch {
+func (sim *simulation) answerRenewal(c *Core, s *fakeServer, r Renewal) {
+	if s.fence > c.params.Epoch {
 		return
 	}
-	s.fence = sim.epoch
+	s.fence = c.params.Epoch
 	s.lease = max(s.lease, r.LeaseUntil)
 	// An end counts from its acknowledgement on. By the users' rules it also counts 100 ms after it was reported, but not near a fault, and the
 	// dispatcher stores within two ticks.
@@ -320,7 +386,7 @@
 		run := s.runs[task]
 		report.Active = append(report.Active, jobs.RunState{Task: task, Attempt: run.attempt, Percent: run.percent})
 	}
-	sim.core.ReportReceived(s.info.ID, sim.now-tick/2, report)
+	c.ReportReceived(s.info.ID, sim.now-tick/2, report)
 }
 
 func (sim *simulation) recordEnd(e jobs.End) {
@@ -334,38 +400,41 @@
 	}
 }
 
-// send executes orders, loses them, or delays them.
-func (sim *simulation) send() {
-	for _, o := range sim.core.TakeOrders() {
+// send executes the orders of a dispatcher, loses them, or delays them.
+func (sim *simulation) send(c *Core) {
+	for _, o := range c.TakeOrders() {
 		s := sim.servers[o.Server.ID]
-		reached := s != nil && s.up && !s.cutOff
+		reached := s != nil && s.up && (c == sim.core && !s.cutOff || c == sim.predecessor && s.behindCut)
 		if reached && sim.rng.Float64() >= sim.lossRate {
-			sim.answer(o, sim.execute(o))
+			answer(c, o, sim.execute(c.params.Epoch, o))
 			continue
 		}
 		if reached {
-			sim.delayedOrders = append(sim.delayedOrders, delayedOrder{sim.now + 2*time.Second + time.Duration(sim.rng.IntN(3000))*time.Millisecond, o})
+			sim.delayedOrders = append(sim.delayedOrders, delayedOrder{sim.now + 2*time.Second + time.Duration(sim.rng.IntN(3000))*time.Millisecond, o, c.params.Epoch})
 			slices.SortStableFunc(sim.delayedOrders, func(a, b delayedOrder) int { return int(a.at - b.at) })
 		}
-		sim.answer(o, jobs.StartUnknown)
+		answer(c, o, jobs.StartUnknown)
 	}
 }
 
-func (sim *simulation) answer(o Order, result jobs.StartResult) {
+func answer(c *Core, o Order, result jobs.StartResult) {
 	switch {
 	case o.Start != nil:
-		sim.core.StartAnswered(o.Server.ID, o.Start.Task.String(), o.Start.Attempt, result)
+		c.StartAnswered(o.Server.ID, o.Start.Task.String(), o.Start.Attempt, result)
 	case o.Stop != nil:
-		sim.core.StopAnswered(o.Server.ID, o.Stop.Task, o.Stop.Attempt, result == jobs.Started)
+		c.StopAnswered(o.Server.ID, o.Stop.Task, o.Stop.Attempt, result == jobs.Started)
 	}
 }
 
-// execute handles an order as a server does.
-func (sim *simulation) execute(o Order) jobs.StartResult {
+// execute handles an order of the dispatcher of an epoch as a server does.
+func (sim *simulation) execute(epoch int64, o Order) jobs.StartResult {
 	s := sim.servers[o.Server.ID]
 	if s == nil || !s.up || s.info.BornMS != o.Server.BornMS {
 		return jobs.StartUnknown
 	}
+	if epoch < s.fence {
+		return jobs.StartFenced
+	}
 	switch {
 	case o.Start != nil:
 		return sim.executeStart(s, *o.Start)
@@ -381,8 +450,6 @@
 func (sim *simulation) executeStart(s *fakeServer, o jobs.Order) jobs.StartResult {
 	task := o.Task.String()
 	switch {
-	case o.Fence < s.fence:
-		return jobs.StartFenced
 	case s.lastAttempt[task] >= o.Attempt:
 		return jobs.StartSuperseded
 	case o.LeaseUntil <= s.clock(sim.now):
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -191,3 +191,95 @@
 		assert.True(t, sim.core.MayTerminate(id), "its only task may be unavailable")
 	}
 }
+
+// serverWithRuns returns the only server that runs tasks.
+func (sim *simulation) serverWithRuns(t *testing.T) *fakeServer {
+	t.Helper()
+	var found *fakeServer
+	for _, s := range sim.servers {
+		if len(s.runs) > 0 {
+			require.Nil(t, found)
+			found = s
+		}
+	}
+	require.NotNil(t, found)
+	return found
+}
+
+// requireAwaited checks that the task on a server that is cut off with its dispatcher starts elsewhere only once its lease has expired.
+func (sim *simulation) requireAwaited(t *testing.T) {
+	t.Helper()
+	require.Equal(t, 1, sim.starts)
+	sim.run(testSilence + testLease - 300*time.Millisecond)
+	assert.Equal(t, 1, sim.starts, "the lease has not expired")
+	sim.run(1500 * time.Millisecond)
+	assert.Equal(t, 2, sim.starts, "the lease has expired")
+	assert.Empty(t, sim.violations)
+}
+
+// TestTakeoverWaitsForServersThatHaveRestarted guards against a second run of a task on a server that restarted under its id long before it got the
+// task, and is cut off with the dispatcher: the next dispatcher took the server for one that had just restarted (review/1).
+func TestTakeoverWaitsForServersThatHaveRestarted(t *testing.T) {
+	sim := newSimulation(29, 2)
+	sim.run(time.Second)
+	for _, id := range sim.serverIDs() {
+		sim.restart(sim.servers[id])
+		sim.run(time.Second)
+	}
+	sim.submit(oldJob, longRunningStep())
+	sim.run(time.Second)
+	sim.cutOffDispatcher(sim.serverWithRuns(t))
+	sim.requireAwaited(t)
+}
+
+// TestTakeoverWaitsForServersWithAnOutdatedRecord guards against the same second run if a dispatcher of an earlier version has left the record of the
+// server's first incarnation.
+func TestTakeoverWaitsForServersWithAnOutdatedRecord(t *testing.T) {
+	sim := newSimulation(30, 2)
+	sim.submit(oldJob, longRunningStep())
+	sim.run(time.Second)
+	s := sim.serverWithRuns(t)
+	outdated := sim.ledger.Servers[s.info.ID]
+	outdated.BornMS -= 1000
+	sim.apply([]ledger.Record{ledger.ServerRecord(s.info.ID, outdated)})
+	sim.cutOffDispatcher(s)
+	sim.requireAwaited(t)
+}
+
+// TestTakeoverWaitsForServersOnAnotherMachine guards against a second run of a task on a server that restarted under its id on another machine: the
+// ledger named the former machine, and the server counted as ended when that machine had left the fleet.
+func TestTakeoverWaitsForServersOnAnotherMachine(t *testing.T) {
+	sim := newSimulation(31, 1)
+	sim.run(time.Second)
+	s := sim.servers["s0"]
+	sim.restart(s)
+	s.info.Machine, s.info.Address = "m-other", "other"
+	sim.submit(oldJob, longRunningStep())
+	sim.run(time.Second)
+	assert.Equal(t, ledger.Server{Service: "pool", Address: "other", BornMS: s.info.BornMS, Machine: "m-other"}, sim.ledger.Servers["s0"])
+	sim.addServer("s9", s.info.Capacity)
+	delete(sim.entries, "s0") // the entry has expired
+	sim.cutOffDispatcher(s)
+	sim.step()
+	sim.core.ServerListComplete()
+	sim.core.UpdateMachines(sim.machines())
+	sim.requireAwaited(t)
+}
+
+// TestRestartedServerGetsWorkOnceItIsRecorded guards against work on an incarnation that the ledger doesn't name, because the record of the former
+// one was stored after the restart.
+func TestRestartedServerGetsWorkOnceItIsRecorded(t *testing.T) {
+	sim := newSimulation(32, 1)
+	info := sim.servers["s0"].info
+	sim.core.ServerListed(info)
+	former := sim.core.TakeBatch()
+	require.Len(t, former.Records, 1)
+	info.BornMS += 1000
+	sim.core.ServerListed(info)
+	sim.core.BatchStored(former)
+	assert.False(t, sim.core.servers["s0"].recorded)
+	present := sim.core.TakeBatch()
+	assert.Equal(t, []ledger.Record{ledger.ServerRecord("s0", ledger.Server{Service: "pool", Address: "s0", BornMS: info.BornMS, Machine: "m-s0"})}, present.Records)
+	sim.core.BatchStored(present)
+	assert.True(t, sim.core.servers["s0"].recorded)
+}
--- a/dispatch/tickets_test.go
+++ b/dispatch/tickets_test.go
@@ -42,7 +42,7 @@
 				p.badStarts = append(p.badStarts, fmt.Sprintf("%s on %s with %q", o.Start.Task, o.Server.ID, o.Start.Ticket))
 			}
 		}
-		p.send()
+		p.send(p.core)
 	}
 }
 
--- a/dispatch/unlisted_test.go
+++ b/dispatch/unlisted_test.go
@@ -25,7 +25,7 @@
 			sim.renew(id)
 		}
 		sim.core.Schedule()
-		sim.send()
+		sim.send(sim.core)
 		sim.store()
 		sim.now += tick
 	}
@@ -37,7 +37,7 @@
 			sim.renew(id)
 		}
 		sim.core.Schedule()
-		sim.send()
+		sim.send(sim.core)
 		sim.store()
 		sim.now += tick
 	}
