Acknowledge no end of a restarted server by the numbers of its former incarnation

If the server restarted under its id while the batch was being stored, ends of the new incarnation with lower numbers were acknowledged although nothing had stored them. After the next takeover their tasks would have run again. Callers haven't reported it.

Change: a batch names the incarnation, and one that has ended since acknowledges nothing. The new test failed before.

--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -2,7 +2,6 @@
 
 import (
 	"iter"
-	"maps"
 	"slices"
 	"time"
 
@@ -242,17 +241,25 @@
 // Batch is a set of records to append to the ledger. Once they are stored, BatchStored must be called with it.
 type Batch struct {
 	Records    []ledger.Record
-	ends       map[string]int64 // newest end that the records take into account, by server
-	servers    []incarnation    // servers whose record is in the batch
-	startMarks []string         // jobs whose tasks may start once the batch is stored
-	crashed    []*task          // tasks whose last crash is in the batch
+	ends       map[incarnation]int64 // newest end that the records take into account, by server
+	servers    []incarnation         // servers whose record is in the batch
+	startMarks []string              // jobs whose tasks may start once the batch is stored
+	crashed    []*task               // tasks whose last crash is in the batch
 }
 
 // Empty reports whether there is nothing to store and nothing to acknowledge.
 func (b Batch) Empty() bool { return len(b.Records) == 0 && len(b.ends) == 0 }
 
 // EndedOn returns the servers whose reported ends are acknowledged once the batch is stored.
-func (b Batch) EndedOn() iter.Seq[string] { return maps.Keys(b.ends) }
+func (b Batch) EndedOn() iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for i := range b.ends {
+			if !yield(i.server.info.ID) {
+				return
+			}
+		}
+	}
+}
 
 // EndsStored reports whether the effects of all ends that a server has reported are stored. The server reports the others again.
 func (c *Core) EndsStored(server string) bool {
@@ -262,7 +269,7 @@
 
 // TakeBatch returns the records decided since the last call.
 func (c *Core) TakeBatch() Batch {
-	b := Batch{Records: c.records, ends: map[string]int64{}}
+	b := Batch{Records: c.records, ends: map[incarnation]int64{}}
 	c.records = nil
 	b.crashed, c.unstoredCrashes = c.unstoredCrashes, nil
 	for id, j := range c.unstoredJobs {
@@ -275,7 +282,7 @@
 	clear(c.unstoredJobs)
 	for id, s := range c.servers {
 		if s.lastEnd > s.storedEnd {
-			b.ends[id] = s.lastEnd
+			b.ends[s.incarnation()] = s.lastEnd
 		}
 		if !s.recorded && !s.recording && s.listed && s.info.Ready && s.described() {
 			s.recording, s.inLedger = true, true
@@ -297,9 +304,9 @@
 	for _, t := range b.crashed {
 		t.crashUnstored = slices.Contains(c.unstoredCrashes, t) // it may have crashed another server meanwhile
 	}
-	for id, lastEnd := range b.ends {
-		if s := c.servers[id]; s != nil {
-			s.storedEnd = max(s.storedEnd, min(lastEnd, s.lastEnd))
+	for i, lastEnd := range b.ends {
+		if c.isCurrent(i) {
+			i.server.storedEnd = max(i.server.storedEnd, lastEnd)
 		}
 	}
 	for _, i := range b.servers {
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -283,3 +283,26 @@
 	sim.core.BatchStored(present)
 	assert.True(t, sim.core.servers["s0"].recorded)
 }
+
+// TestEndsOfARestartedServerAreStoredBeforeTheyAreAcknowledged guards against the acknowledgement of an end that isn't stored: the ends of the server's
+// former incarnation, whose numbers are higher, were being stored when it restarted. A task that was done would run again after the next takeover.
+func TestEndsOfARestartedServerAreStoredBeforeTheyAreAcknowledged(t *testing.T) {
+	sim := newSimulation(33, 1)
+	sim.submit(oldJob, stepOf(1, 1000))
+	sim.submit(newJob, stepOf(1, 1000))
+	sim.run(300 * time.Millisecond)
+	require.Equal(t, 2, sim.starts)
+	report := func(bornMS int64, ends ...jobs.End) {
+		sim.core.ReportReceived("s0", sim.now, jobs.Report{BornMS: bornMS, Ended: ends})
+	}
+	born := sim.servers["s0"].info.BornMS
+	report(born, jobs.End{Number: 3, Task: oldJob + ".0.0.0", Attempt: 1, How: jobs.EndDone})
+	former := sim.core.TakeBatch()
+	report(born+1000, jobs.End{Number: 1, Task: newJob + ".0.0.0", Attempt: 1, How: jobs.EndDone})
+	sim.core.BatchStored(former)
+	assert.False(t, sim.core.EndsStored("s0"))
+	r, _ := sim.core.NextRenewal("s0")
+	assert.Zero(t, r.AckCursor)
+	sim.core.BatchStored(sim.core.TakeBatch())
+	assert.True(t, sim.core.EndsStored("s0"))
+}
