Drop no run by an answer from a server's former address

Callers haven't reported it.

Change: the answer counts only while the server still has the incarnation and the address that the order named. The new test fails with this check taken out.

--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -126,7 +126,7 @@
 		r.state = runUnknown
 		c.countServerFailure(r.server)
 	case jobs.StartWrongInstance:
-		c.ServerReplaced(server)
+		c.ServerReplaced(r.server.info)
 	default:
 		c.startRefused(r, result)
 	}
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -251,13 +251,16 @@
 	}
 }
 
-// ServerReplaced records that another incarnation answers at a server's address.
-func (c *Core) ServerReplaced(id string) {
-	if s := c.servers[id]; s != nil {
-		c.reportProblem(s, "server_gone")
-		c.serverCrashed(s)
-		c.serverTerminated(s)
+// ServerReplaced records that another server answered at the address to which an order for a server was sent. It says nothing about the server if that
+// has restarted since the order was sent, possibly at another address.
+func (c *Core) ServerReplaced(asked jobs.Server) {
+	s := c.servers[asked.ID]
+	if s == nil || s.info.BornMS != asked.BornMS || s.info.Address != asked.Address {
+		return
 	}
+	c.reportProblem(s, "server_gone")
+	c.serverCrashed(s)
+	c.serverTerminated(s)
 }
 
 // expireLeases removes the runs of a server whose leases have expired, and the server itself if it is unlisted. It does nothing unless this
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -306,3 +306,22 @@
 	sim.core.BatchStored(sim.core.TakeBatch())
 	assert.True(t, sim.core.EndsStored("s0"))
 }
+
+// TestAnswerFromAFormerAddressEndsNoRun guards against a second run of a task on a server that has restarted at another address: the answer of the server
+// that has the former address now arrives after the restart is known.
+func TestAnswerFromAFormerAddressEndsNoRun(t *testing.T) {
+	sim := newSimulation(34, 1)
+	sim.run(time.Second)
+	renewal, ok := sim.core.NextRenewal("s0")
+	require.True(t, ok)
+	s := sim.servers["s0"]
+	sim.restart(s)
+	s.info.Address = "other"
+	sim.submit(oldJob, longRunningStep())
+	sim.run(time.Second)
+	require.NotNil(t, sim.onlyRun(t, oldJob))
+	sim.core.ServerReplaced(renewal.Server)
+	assert.NotNil(t, sim.onlyRun(t, oldJob))
+	sim.core.ServerReplaced(s.info)
+	assert.Nil(t, sim.core.jobs[oldJob].occurrences[0].steps[0].tasks[0].run)
+}
--- a/jobnode/renewals.go
+++ b/jobnode/renewals.go
@@ -120,7 +120,7 @@
 		case platform.Renewed:
 			c.ReportReceived(id, sent, report)
 		case platform.RenewalWrongInstance:
-			c.ServerReplaced(id)
+			c.ServerReplaced(r.Server)
 		case platform.RenewalUnanswered, platform.RenewalFenced:
 			c.RenewalUnanswered(id, sent, r.Wait+platform.RenewalTimeout+relay.OrderTimeout)
 		}
