Wait for the servers of a queue's former service after a takeover

Callers haven't reported it.

Change: such a job also waits for servers of the service that its queue had when it was submitted. The new test failed before (TWICE 1 s after the cut). A queue that has changed its service twice since is not covered.

--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -53,7 +53,7 @@
 	pools, awaiting := c.serverPools(byService)
 	clear(c.markedWaiting)
 	for service, waiting := range byService {
-		c.markedWaiting[service] = c.placeService(pools[service], waiting, awaiting[service])
+		c.markedWaiting[service] = c.placeService(pools[service], waiting, awaiting)
 	}
 	for _, p := range pools {
 		c.eventCounts["servers_examined"] += p.examined
@@ -90,17 +90,22 @@
 	return true
 }
 
-// placeService starts tasks of one service in order of priority. Inherited jobs are left out while awaiting is set, because their tasks may run on a
-// server that hasn't reported. It returns how many jobs with a stored or requested mark still wait, or the number of all waiting jobs if no server is
+// awaits reports whether tasks of a job may run on a server that hasn't reported to this dispatcher. That may also be a server of the service that the
+// job's queue had when the job was submitted.
+func (c *Core) awaits(j *job, awaiting map[string]bool) bool {
+	return j.inherited && (awaiting[c.serviceOf(j)] || awaiting[j.sub.Service])
+}
+
+// placeService starts tasks of one service in order of priority. Jobs are left out whose tasks may run on a server of an awaiting service. It returns how many jobs with a stored or requested mark still wait, or the number of all waiting jobs if no server is
 // schedulable.
-func (c *Core) placeService(pool *serverPool, waiting []candidate, awaiting bool) int {
+func (c *Core) placeService(pool *serverPool, waiting []candidate, awaiting map[string]bool) int {
 	if pool == nil {
 		return len(waiting)
 	}
 	slices.SortFunc(waiting, compareCandidates)
 	marked := 0
 	for _, w := range waiting {
-		if awaiting && w.job.inherited || w.rank.late() && !pool.hasCapacityForLate() {
+		if c.awaits(w.job, awaiting) || w.rank.late() && !pool.hasCapacityForLate() {
 			continue
 		}
 		if w.job.startMark != markStored {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -31,13 +31,10 @@
 	pools, awaiting = map[string]*serverPool{}, map[string]bool{}
 	for _, s := range c.servers {
 		service := s.info.Service
-		if len(waiting[service]) == 0 {
-			continue
-		}
 		if s.awaited() {
 			awaiting[service] = true
 		}
-		if !c.schedulable(s) {
+		if len(waiting[service]) == 0 || !c.schedulable(s) {
 			continue
 		}
 		if pools[service] == nil {
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -325,3 +325,18 @@
 	sim.core.ServerReplaced(s.info)
 	assert.Nil(t, sim.core.jobs[oldJob].occurrences[0].steps[0].tasks[0].run)
 }
+
+// TestTakeoverWaitsForServersOfAFormerService guards against a second run of a task whose queue has been given to another service: its server, which
+// doesn't answer the new dispatcher, belongs to the former one.
+func TestTakeoverWaitsForServersOfAFormerService(t *testing.T) {
+	sim := newSimulation(35, 1)
+	sim.submit(oldJob, longRunningStep())
+	sim.run(time.Second)
+	other := sim.addServer("s9", sim.servers["s0"].info.Capacity)
+	other.info.Service = "other"
+	config := *sim.config
+	config.Routes = []jobs.Route{{Name: "q", Service: "other"}}
+	sim.config = &config
+	sim.cutOffDispatcher(sim.servers["s0"])
+	sim.requireAwaited(t)
+}
