--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -324,4 +324,5 @@
 		return
 	}
 	best.reservedFor, best.reservedUntil = t, c.now+reservationTimeout
+	c.reportProblem(best, "server_reserved")
 }
