Keep a server free for a task only where the task may run

Cause: after a crash of which it may be the cause, a task starts apart from others, and a server is kept free for it. Its choice asked for the label and the machine's size only. Here it was always a server that ran another task of the step, of which there may be one on a server.

Change: reservations ask what starts ask (label, ticket, limit per server, limit of the workspace) and disregard only what will pass: short tasks. A reservation ends with its job.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -284,7 +284,7 @@
 	if s.trial != nil && s.trial.task.run == s.trial && s.trial.mayCauseCrash(s.trial.task.caution(), c.now) {
 		return false
 	}
-	if s.reservedFor != nil && s.reservedFor != t && c.now < s.reservedUntil && c.startable(s.reservedFor) {
+	if other := c.reservation(s); other != nil && other != t {
 		return false
 	}
 	return t.caution() == startAnywhere || s.blockingRuns(t.caution(), c.now) == 0
@@ -301,19 +301,34 @@
 	return n
 }
 
-// reserveServer keeps a server free of new work until a task can start there apart from others.
+// reservation returns the task for which a server is kept free, or nil if there is none or it can't start any more.
+func (c *Core) reservation(s *server) *task {
+	t := s.reservedFor
+	if t == nil || c.now >= s.reservedUntil || !c.startable(t) {
+		return nil
+	}
+	if j := t.step.occurrence.job; j.cancelled || j.failed {
+		return nil
+	}
+	return t
+}
+
+// reserveServer keeps a server free of new work until a task can start there apart from others. The server has to be one on which the task may start as
+// soon as the short tasks there have ended.
 func (c *Core) reserveServer(t *task, pool []*server) {
+	if !c.withinLimit(t) {
+		return
+	}
 	var best *server
 	reserved, fewest := 0, 0
 	for _, s := range pool {
-		if s.reservedFor != nil && c.now < s.reservedUntil && c.startable(s.reservedFor) {
-			if s.reservedFor == t {
-				return
-			}
+		if other := c.reservation(s); other == t {
+			return
+		} else if other != nil {
 			reserved++
 			continue
 		}
-		if !t.step.spec.Allocation().Fits(s.info.Capacity) || !s.info.HasLabel(t.step.spec.Label) {
+		if !c.mayRunOnceIdle(t, s) {
 			continue
 		}
 		if n := s.blockingRuns(t.caution(), c.now); best == nil || n < fewest {
@@ -326,3 +341,12 @@
 	best.reservedFor, best.reservedUntil = t, c.now+reservationTimeout
 	c.reportProblem(best, "server_reserved")
 }
+
+// mayRunOnceIdle reports whether a task may run on a server once the runs there that end by themselves have ended. Long-running ones stay.
+func (c *Core) mayRunOnceIdle(t *task, s *server) bool {
+	spec := t.step.spec
+	if !c.permitted(t, s) || !spec.Allocation().Fits(s.info.Capacity.Sub(longRunningUsage(s))) {
+		return false
+	}
+	return !spec.LongRunning || !c.atMaxPerServer(t, s)
+}
--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -313,3 +313,66 @@
 	}
 	assert.True(t, tsk.crashesServers())
 }
+
+// TestLostLongRunningTaskStartsUnderLoad guards against a long-running task that never starts again after its server was lost: the server that was kept
+// free for it already ran a task of its step, of which there may be one on a server, and the others always had a recent run (review/4).
+func TestLostLongRunningTaskStartsUnderLoad(t *testing.T) {
+	m := newModel(37, 8)
+	m.loadRack = modelRacks[0]
+	m.run(time.Second)
+	step := stepOf(4, 500)
+	step.LongRunning, step.MaxPerServer, step.Rack = true, 1, modelRacks[1]
+	m.longRunning = []string{oldJob}
+	m.submitFor("services", oldJob, step)
+	m.run(time.Second)
+	lost := m.serverOfTask(oldJob + ".0.0.0")
+	require.NotNil(t, lost)
+	require.Equal(t, modelRacks[1], lost.info.Rack())
+	m.loseServer(lost)
+	m.run(restartTime)
+	m.checkLongRunning()
+	assert.Empty(t, m.violations)
+}
+
+// TestServersAreReservedOnlyForTasksThatMayRunThere guards against a server that is kept free for a task which can't start there, while it could start
+// elsewhere.
+func TestServersAreReservedOnlyForTasksThatMayRunThere(t *testing.T) {
+	for name, forbid := range map[string]func(c *Core, suspect *task, s *server){
+		"label": func(_ *Core, suspect *task, s *server) {
+			suspect.step.spec.Label, s.info.Labels = "kind", nil
+		},
+		"policy": func(c *Core, suspect *task, _ *server) {
+			c.routes["q"] = &jobs.Route{Name: "q", Service: "pool", Policy: &jobs.Policy{}}
+			suspect.step.tickets.granted = map[string]ticket{"s1": {text: "t", bornMS: c.servers["s1"].bornMS, until: c.now + time.Minute}}
+		},
+		"room that long-running tasks leave": func(c *Core, _ *task, s *server) {
+			c.start(c.jobs[newJob].occurrences[0].steps[0].tasks[0], s)
+		},
+		"limit of the workspace": func(c *Core, _ *task, _ *server) {
+			c.limits["w"] = jobs.Resources{CPU: 1}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(38, 2)
+			sim.run(300 * time.Millisecond)
+			sim.storeDown = true // no job gets its start mark, so nothing starts by itself
+			sim.submit(oldJob, stepOf(1, 1000))
+			large := stepOf(1, 3500)
+			large.LongRunning = true
+			sim.submitFor("other", newJob, large)
+			c := sim.core
+			for _, s := range c.servers {
+				s.info.Labels = []string{"kind"}
+			}
+			suspect := c.jobs[oldJob].occurrences[0].steps[0].tasks[0]
+			forbid(c, suspect, c.servers["s0"])
+			c.reserveServer(suspect, []*server{c.servers["s0"], c.servers["s1"]})
+			assert.Nil(t, c.reservation(c.servers["s0"]))
+			if name != "limit of the workspace" {
+				assert.Same(t, suspect, c.reservation(c.servers["s1"]))
+				c.cancel(suspect.step.occurrence.job)
+			}
+			assert.Nil(t, c.reservation(c.servers["s1"]))
+		})
+	}
+}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -279,19 +279,29 @@
 	return cmp.Or(cmp.Compare(aCost, bCost), cmp.Compare(a.info.ID, b.info.ID))
 }
 
-// limitReached reports whether the limit of its workspace keeps a task from starting.
+// limitReached reports whether the limit of its workspace keeps a task from starting, and counts that.
 func (c *Core) limitReached(t *task) bool {
-	ws := t.step.occurrence.job.sub.Workspace
-	if c.usage[ws].Add(t.step.spec.Need).Within(c.limits[ws]) {
+	if c.withinLimit(t) {
 		return false
 	}
 	c.count("wait_limit")
 	return true
 }
 
+// withinLimit reports whether the limit of its workspace allows a task to start.
+func (c *Core) withinLimit(t *task) bool {
+	ws := t.step.occurrence.job.sub.Workspace
+	return c.usage[ws].Add(t.step.spec.Need).Within(c.limits[ws])
+}
+
 // mayRun reports whether a task may run on a server that has enough capacity.
 func (c *Core) mayRun(t *task, s *server) bool {
-	if !s.info.HasLabel(t.step.spec.Label) || c.atMaxPerServer(t, s) || !c.acceptsTask(s, t) {
+	return c.permitted(t, s) && !c.atMaxPerServer(t, s) && c.acceptsTask(s, t)
+}
+
+// permitted reports whether a server is one on which a task may run at all, whatever else runs there.
+func (c *Core) permitted(t *task, s *server) bool {
+	if !s.info.HasLabel(t.step.spec.Label) {
 		return false
 	}
 	_, allowed := c.ticketFor(t.step, s)
--- a/dispatch/random_test.go
+++ b/dispatch/random_test.go
@@ -44,6 +44,34 @@
 	})
 }
 
+// TestModelLongRunning guards against long-running tasks that don't start again after random losses of their servers, although there is room for them
+// where their constraints, which are drawn together, allow them. Short tasks run on one rack all the time.
+func TestModelLongRunning(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newModel(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(4, 8).Draw(rt, "servers"))
+		m.loadRack = m.randomRack()
+		m.run(time.Second)
+		for i := range rapid.IntRange(1, 3).Draw(rt, "jobs") {
+			m.submitLongRunning(fmt.Sprintf("%016x", i))
+		}
+		for _, fault := range rapid.SliceOfN(rapid.SampledFrom([]func(*model, *fakeServer){
+			(*model).loseServer, (*model).loseServer, (*model).restartAtOnce,
+			func(m *model, _ *fakeServer) { m.cutOffDispatcher(m.rackServers(m.randomRack())...) },
+		}), 1, 3).Draw(rt, "faults") {
+			m.run(time.Duration(300+m.rng.IntN(4000)) * time.Millisecond)
+			if s := m.longRunningServer(); s != nil {
+				fault(m, s)
+			}
+		}
+		m.endFaults()
+		m.run(restartTime)
+		m.checkLongRunning()
+		if len(m.violations) > 0 {
+			rt.Fatalf("%d violations, the first: %s", len(m.violations), m.violations[0])
+		}
+	})
+}
+
 const (
 	// settleTime is longer than all leases, delays and probes together.
 	settleTime = 40 * time.Second
@@ -119,8 +147,8 @@
 // submitLongRunning submits a long-running job with random constraints.
 func (m *model) submitLongRunning(id string) {
 	step := stepOf(1+m.rng.IntN(3), 500)
-	step.LongRunning, step.MaxPerServer = true, m.rng.IntN(2)
-	if m.rng.IntN(2) == 0 {
+	step.LongRunning, step.MaxPerServer = true, min(m.rng.IntN(3), 1)
+	if m.rng.IntN(4) > 0 {
 		step.Rack = m.randomRack()
 	}
 	if m.rng.IntN(4) == 0 {
@@ -137,6 +165,24 @@
 	}
 }
 
+// longRunningServer returns a random server that runs a long-running task, or nil if there is none.
+func (m *model) longRunningServer() *fakeServer {
+	var found []*fakeServer
+	for _, id := range m.serverIDs() {
+		s := m.servers[id]
+		for task := range s.runs {
+			if m.steps[task].LongRunning {
+				found = append(found, s)
+				break
+			}
+		}
+	}
+	if len(found) == 0 {
+		return nil
+	}
+	return found[m.rng.IntN(len(found))]
+}
+
 // restartAtOnce ends a server, which comes back under its id before anybody notices.
 func (m *model) restartAtOnce(s *fakeServer) {
 	cutOff, behindCut := s.cutOff, s.behindCut
@@ -197,21 +243,22 @@
 		}
 		step := m.specs[id].Spec.Steps[0]
 		for k := range step.Count {
-			task := jobs.TaskID{Job: id, Index: k}
-			if !m.runsAnywhere(task) && m.serversWithRoom(id, step) >= 2 {
+			task := jobs.TaskID{Job: id, Index: k}.String()
+			if m.serverOfTask(task) == nil && m.serversWithRoom(id, step) >= 2 {
 				m.violation("LOST %s doesn't run", task)
 			}
 		}
 	}
 }
 
-func (m *model) runsAnywhere(task jobs.TaskID) bool {
+// serverOfTask returns the server that runs a task, or nil.
+func (m *model) serverOfTask(task string) *fakeServer {
 	for _, s := range m.servers {
-		if s.runs[task.String()] != nil {
-			return true
+		if s.runs[task] != nil {
+			return s
 		}
 	}
-	return false
+	return nil
 }
 
 // serversWithRoom returns the number of servers that may run another task of a job's only step.
