Spread the members of a gang as their step demands

Change: the places that members have taken count. TestGangIsSpread failed before (three members started on two servers).

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -348,5 +348,5 @@
 	if !c.permitted(t, s) || !spec.Allocation().Fits(s.info.Capacity.Sub(longRunningUsage(s))) {
 		return false
 	}
-	return !spec.LongRunning || !c.atMaxPerServer(t, s)
+	return !spec.LongRunning || t.step.remainingPlaces(s) > 0
 }
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -158,6 +159,12 @@
 	}
 }
 
+// reservedPlaces is what the tasks of a gang that is being placed take up on a server.
+type reservedPlaces struct {
+	tasks     int
+	allocated jobs.Resources
+}
+
 // placeGang starts all tasks of a gang at once, or none.
 func (c *Core) placeGang(s *step, pool *serverPool) {
 	for _, t := range s.tasks {
@@ -167,14 +174,15 @@
 	}
 	for _, group := range gangServerSets(s, pool.servers) {
 		chosen := map[*task]*server{}
-		reserved := map[*server]jobs.Resources{}
+		reserved := map[*server]reservedPlaces{}
 		for _, t := range s.tasks {
 			srv := c.chooseGangServer(t, group, reserved)
 			if srv == nil {
 				break
 			}
 			chosen[t] = srv
-			reserved[srv] = reserved[srv].Add(s.spec.Allocation())
+			places := reserved[srv]
+			reserved[srv] = reservedPlaces{places.tasks + 1, places.allocated.Add(s.spec.Allocation())}
 		}
 		if len(chosen) < len(s.tasks) || !c.gangWithinLimit(s) {
 			continue
@@ -255,16 +263,16 @@
 	return best, best >= 0
 }
 
-// chooseGangServer returns the server for a task of a gang, or nil. The other tasks of the gang have reserved capacity.
-func (c *Core) chooseGangServer(t *task, servers []*server, reserved map[*server]jobs.Resources) *server {
+// chooseGangServer returns the server for a task of a gang, or nil. The other tasks of the gang have reserved places.
+func (c *Core) chooseGangServer(t *task, servers []*server, reserved map[*server]reservedPlaces) *server {
 	if c.limitReached(t) {
 		return nil
 	}
 	var best *server
 	var bestCost float64
 	for _, s := range servers {
-		free := s.info.Capacity.Sub(s.used).Sub(reserved[s])
-		if !t.step.spec.Allocation().Fits(free) || !c.mayRun(t, s) {
+		free := s.info.Capacity.Sub(s.used).Sub(reserved[s].allocated)
+		if !t.step.spec.Allocation().Fits(free) || !c.mayRun(t, s) || t.step.remainingPlaces(s) <= reserved[s].tasks {
 			continue
 		}
 		if cost := c.cost(t, s, free); best == nil || compareCost(cost, s, bestCost, best) < 0 {
@@ -296,7 +304,7 @@
 
 // mayRun reports whether a task may run on a server that has enough capacity.
 func (c *Core) mayRun(t *task, s *server) bool {
-	return c.permitted(t, s) && !c.atMaxPerServer(t, s) && c.acceptsTask(s, t)
+	return c.permitted(t, s) && t.step.remainingPlaces(s) > 0 && c.acceptsTask(s, t)
 }
 
 // permitted reports whether a server is one on which a task may run at all, whatever else runs there.
@@ -308,19 +316,18 @@
 	return allowed
 }
 
-// atMaxPerServer reports whether a server runs as many tasks of the step as its limit per server allows.
-func (c *Core) atMaxPerServer(t *task, s *server) bool {
-	limit := t.step.spec.MaxPerServer
-	if limit == 0 {
-		return false
+// remainingPlaces returns how many more tasks of a step its limit per server allows on a server.
+func (s *step) remainingPlaces(srv *server) int {
+	if s.spec.MaxPerServer == 0 {
+		return math.MaxInt
 	}
-	n := 0
-	for _, r := range s.runs {
-		if r.task.step == t.step {
-			n++
+	n := s.spec.MaxPerServer
+	for _, r := range srv.runs {
+		if r.task.step == s {
+			n--
 		}
 	}
-	return n >= limit
+	return max(n, 0)
 }
 
 // Weights of the choice of a server, in units of the free share of its processors.
--- a/dispatch/random_test.go
+++ b/dispatch/random_test.go
@@ -468,6 +468,21 @@
 	assert.Equal(t, 3, sim.starts)
 }
 
+// TestGangIsSpread guards against members of a gang that start beside each other although their step allows one on a server: each was placed as if the
+// others had not been.
+func TestGangIsSpread(t *testing.T) {
+	sim := newSimulation(18, 2)
+	gang := stepOf(3, 500)
+	gang.Gang, gang.MaxPerServer = true, 1
+	sim.submit("00000000000000aa", gang)
+	sim.run(time.Second)
+	assert.Zero(t, sim.starts, "there are two servers for three members")
+	sim.addServer("s9", jobs.Resources{CPU: 4000, MemoryMB: 4000})
+	sim.run(200 * time.Millisecond)
+	assert.Equal(t, 3, sim.starts)
+	assert.Empty(t, sim.violations)
+}
+
 // TestUpkeepRespectsTheMissBudget guards against an upkeep that ends a task while another task of its step is unavailable.
 func TestUpkeepRespectsTheMissBudget(t *testing.T) {
 	sim := newSimulation(11, 3)
