Request tickets for the servers on which a step has a place left

Callers haven't reported it.

Change: the places that the limit per server leaves count. The new test failed before (two of three tasks started).

--- a/dispatch/tickets.go
+++ b/dispatch/tickets.go
@@ -96,11 +96,11 @@
 	for _, srv := range c.servers {
 		free := srv.info.Capacity.Sub(srv.used)
 		if srv.info.Service != service || !c.schedulable(srv) || s.tickets.denied[srv.info.ID] || !s.spec.Allocation().Fits(free) ||
-			!srv.info.HasLabel(s.spec.Label) {
+			!srv.info.HasLabel(s.spec.Label) || s.remainingPlaces(srv) == 0 {
 			continue
 		}
 		if _, valid := c.ticketFor(s, srv); valid {
-			if unplaced -= fitCount(s.spec.Allocation(), free); unplaced <= 0 {
+			if unplaced -= min(fitCount(s.spec.Allocation(), free), s.remainingPlaces(srv)); unplaced <= 0 {
 				return jobs.TicketRequest{}, false
 			}
 			continue
--- a/dispatch/tickets_test.go
+++ b/dispatch/tickets_test.go
@@ -123,3 +123,19 @@
 	p.run(3 * time.Second)
 	assert.Equal(t, jobs.Complete, p.phase(oldJob))
 }
+
+// TestTicketsAreRequestedWhereTheStepMayRun guards against a task that waits although a server without a ticket could run it: the servers with a ticket
+// have free capacity, but run as many tasks of the step as one server may.
+func TestTicketsAreRequestedWhereTheStepMayRun(t *testing.T) {
+	p := newPolicySimulation(35, 2, "s0", "s1", "s9")
+	step := stepOf(3, 500)
+	step.LongRunning, step.MaxPerServer = true, 1
+	p.submit(oldJob, step)
+	p.run(300 * time.Millisecond)
+	require.Equal(t, 2, p.starts)
+	p.addServer("s9", p.servers["s0"].info.Capacity)
+	p.run(500 * time.Millisecond)
+	assert.Equal(t, 3, p.starts)
+	assert.Empty(t, p.badStarts)
+	assert.Empty(t, p.violations)
+}
