Keep the runs that may be among a server's unlisted ends

Cause: a server lists 500 ends at a time, and none is acknowledged while nothing can be stored. A confirmed run that was listed neither as active nor as ended counted as lost.

Change: a report says whether its list of ends is full. Then no run counts as lost, and a new dispatcher goes on waiting for the server.

--- a/dispatch/random_test.go
+++ b/dispatch/random_test.go
@@ -27,7 +27,7 @@
 func TestModel(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		m := newModel(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(2, 6).Draw(rt, "servers"))
-		ops := rapid.SliceOfN(rapid.IntRange(0, 23), 10, 40).Draw(rt, "ops")
+		ops := rapid.SliceOfN(rapid.IntRange(0, 24), 10, 40).Draw(rt, "ops")
 		for i, op := range ops {
 			m.injectFault(i, op)
 			m.run(time.Duration(200+m.rng.IntN(1500)) * time.Millisecond)
@@ -101,6 +101,7 @@
 	for i, id := range m.serverIDs() {
 		m.servers[id].info.Labels = []string{modelRacks[i%len(modelRacks)]}
 	}
+	m.maxListedEnds = 4
 	m.config.Workspaces = append(m.config.Workspaces, jobs.Workspace{Name: "services"}, jobs.Workspace{Name: "load"})
 	m.core.SetConfiguration(m.config)
 	return m
@@ -218,6 +219,8 @@
 		m.submitLongRunning(fmt.Sprintf("%016x", i))
 	case 23:
 		m.loadRack = m.randomRack()
+	case 24:
+		m.storeDown = !m.storeDown
 	default:
 		m.simulation.injectFault(i, op)
 	}
@@ -225,7 +228,7 @@
 
 // endFaults ends all faults.
 func (sim *simulation) endFaults() {
-	sim.lossRate, sim.predecessor = 0, nil
+	sim.lossRate, sim.predecessor, sim.storeDown = 0, nil, false
 	for _, s := range sim.servers {
 		if !s.up {
 			sim.restart(s)
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -314,20 +314,21 @@
 		listed[a.Task] = true
 		c.runListed(s, a, sent)
 	}
-	c.dropUnlisted(s, listed, sent)
-	s.reconciled = true
+	c.dropUnlisted(s, listed, sent, r.MoreEnds)
+	s.reconciled = s.reconciled || !r.MoreEnds
 	c.controlPace(s)
 }
 
-// dropUnlisted removes confirmed runs that a server doesn't report, and stops those whose start or stop isn't confirmed.
-func (c *Core) dropUnlisted(s *server, listed map[string]bool, sent time.Duration) {
+// dropUnlisted removes confirmed runs that a server doesn't report, and stops those whose start or stop isn't confirmed. While the server has more ends
+// than it reports, a confirmed run may be among these.
+func (c *Core) dropUnlisted(s *server, listed map[string]bool, sent time.Duration, moreEnds bool) {
 	for key, r := range s.runs {
 		if listed[key] {
 			continue
 		}
 		switch {
-		case r.state == runActive && r.confirmedAt > 0 && r.confirmedAt < sent,
-			r.stopConfirmed && r.confirmedAt < sent:
+		case !moreEnds && r.state == runActive && r.confirmedAt > 0 && r.confirmedAt < sent,
+			!moreEnds && r.stopConfirmed && r.confirmedAt < sent:
 			c.reportProblem(s, "run_unlisted")
 			c.removeRun(r)
 		case r.state == runUnknown, r.state == runStopping && !r.stopConfirmed:
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -99,6 +99,7 @@
 	listedDone       map[string]bool // tasks of which a successful run was reported
 	unstored         []Batch
 	storeDown        bool // nothing can be stored
+	maxListedEnds    int  // ends that a server reports at a time
 	delayedOrders    []delayedOrder
 	lossRate         float64                          // share of orders that stay unanswered
 	longPolls        map[string]*longPoll             // outstanding renewals by server, if renewals wait for ends and may be lost; otherwise nil
@@ -121,6 +122,7 @@
 			Workspaces: []jobs.Workspace{{Name: "w", Limit: jobs.Resources{CPU: 6000}}},
 		},
 		steps: map[string]jobs.Step{}, specs: map[string]jobs.Submission{}, done: map[string]bool{}, failedRuns: map[string]int{}, listedDone: map[string]bool{},
+		maxListedEnds: 500,
 	}
 	for i := range servers {
 		sim.addServer(fmt.Sprintf("s%d", i), jobs.Resources{CPU: 4000, MemoryMB: 4000})
@@ -374,7 +376,8 @@
 		}
 		return e.Number <= r.AckCursor
 	})
-	report := jobs.Report{ClockMS: s.clock(sim.now), BornMS: s.info.BornMS, Ended: slices.Clone(s.ended)}
+	listed := min(len(s.ended), sim.maxListedEnds)
+	report := jobs.Report{ClockMS: s.clock(sim.now), BornMS: s.info.BornMS, Ended: slices.Clone(s.ended[:listed]), MoreEnds: listed == sim.maxListedEnds}
 	for _, e := range report.Ended {
 		if e.Number > s.reported {
 			s.reported = e.Number
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -340,3 +340,28 @@
 	sim.cutOffDispatcher(sim.servers["s0"])
 	sim.requireAwaited(t)
 }
+
+// TestRunsMayBeAmongUnlistedEnds guards against tasks that run again after they were done: a server has more ends than it reports at a time, and while
+// nothing can be stored, none is acknowledged. The runs behind them count as lost, also for a new dispatcher (review/2).
+func TestRunsMayBeAmongUnlistedEnds(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		t.Run(fmt.Sprintf("takeover=%v", takeover), func(t *testing.T) {
+			sim := newSimulation(36, 1)
+			sim.maxListedEnds = 2
+			sim.submit(oldJob, stepOf(6, 500))
+			sim.run(250 * time.Millisecond)
+			require.Equal(t, 6, sim.starts)
+			sim.storeDown = true
+			sim.run(3 * time.Second)
+			if takeover {
+				sim.takeOver()
+				sim.run(time.Second)
+			}
+			sim.storeDown = false
+			sim.run(3 * time.Second)
+			assert.Equal(t, 6, sim.starts)
+			assert.Empty(t, sim.violations)
+			assert.Equal(t, jobs.Complete, sim.phase(oldJob))
+		})
+	}
+}
--- a/jobs/model.go
+++ b/jobs/model.go
@@ -279,7 +279,9 @@
 	ClockMS int64 // the server's own clock
 	BornMS  int64
 	Active  []RunState
-	Ended   []End
+	Ended   []End // in ascending order; the first of those that aren't acknowledged
+	// MoreEnds says that the server may have further ends, which it reports once the first ones are acknowledged.
+	MoreEnds bool
 }
 
 // StartResult is a server's response to a start.
