Forget a late submission together with its job

Cause: the expiry of an ended job removed its final state only. The late submission, ignored until then, was a new job for each node that read the store afterwards. Evidence: the ledger built from these records.

Change: the ledger knows that the store has a submission of an ended job; the expiry removes it before the final state.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -161,6 +161,8 @@
 	Progress   Progress
 	Final      *FinalState
 	Cancelled  bool
+	// SubmissionStored says that the store has a submission under the job's key. After the job's end that is one whose append took effect late.
+	SubmissionStored bool
 }
 
 // Phase returns the job's phase as callers see it.
@@ -212,7 +214,8 @@
 	return n
 }
 
-// ExpiredJobRecords returns records that remove up to limit jobs which ended before a time.
+// ExpiredJobRecords returns records that remove up to limit jobs which ended before a time. A submission that was stored after the job's end goes first:
+// without the final state, it would be a new job for nodes that start.
 func (l *Ledger) ExpiredJobRecords(beforeMS int64, limit int) []Record {
 	var records []Record
 	for id, e := range l.Jobs {
@@ -220,6 +223,9 @@
 			break
 		}
 		if e.Final != nil && e.Final.EndedMS < beforeMS {
+			if e.SubmissionStored {
+				records = append(records, SubmissionRemovedRecord(id))
+			}
 			records = append(records, JobRemovedRecord(id))
 		}
 	}
@@ -340,11 +346,12 @@
 func (l *Ledger) applyJob(id string, value []byte, offset int64) (Change, error) {
 	if len(value) == 0 {
 		if e := l.Jobs[id]; e != nil {
-			e.Submission = nil
+			e.Submission, e.SubmissionStored = nil, false
 		}
 		return OtherChange, nil
 	}
 	e := l.entry(id)
+	e.SubmissionStored = true
 	if e.Submission != nil || e.Final != nil {
 		return NoChange, nil
 	}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -121,3 +121,23 @@
 	assert.False(t, l.Known("00000000000000aa"))
 	assert.True(t, l.Known("00000000000000ab"))
 }
+
+// TestLateSubmissionIsRemovedWithTheJob guards against a job that runs again after it has been forgotten: its submission was stored once more after its
+// end, outlived the final state, and was a new job for the nodes that started later (review/3).
+func TestLateSubmissionIsRemovedWithTheJob(t *testing.T) {
+	sub := jobs.Submission{ID: "00000000000000aa"}
+	for name, stored := range map[string][]Record{
+		"log":            append(append([]Record{SubmissionRecord(sub)}, FinalStateRecords(sub.ID, FinalState{Phase: jobs.Complete, EndedMS: 100})...), SubmissionRecord(sub)),
+		"newest records": {SubmissionRecord(sub), FinalStateRecords(sub.ID, FinalState{Phase: jobs.Complete, EndedMS: 100})[0]},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := New()
+			for i, r := range stored {
+				_, _, err := l.Apply(r, int64(i))
+				require.NoError(t, err)
+			}
+			assert.Equal(t, jobs.Complete, l.Jobs[sub.ID].Phase())
+			assert.Equal(t, []Record{SubmissionRemovedRecord(sub.ID), JobRemovedRecord(sub.ID)}, l.ExpiredJobRecords(500, 10))
+		})
+	}
+}
--- a/ledger/records.go
+++ b/ledger/records.go
@@ -38,6 +38,9 @@
 	}
 }
 
+// SubmissionRemovedRecord removes the submission of a job.
+func SubmissionRemovedRecord(id string) Record { return Record{prefixJob + id, nil} }
+
 // JobRemovedRecord removes a job that ended long ago.
 func JobRemovedRecord(id string) Record { return Record{prefixFinal + id, nil} }
 
