Complete a gang with the first of its ends

Cause: one end of a gang represents all of its members, but the dispatcher marked the one task as done. A gang with a done member is never placed again, so the job could neither end nor start. Evidence: a simulated gang without room problems.

Change: the first end marks all tasks of the step.

--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -275,7 +275,7 @@
 	}
 }
 
-// taskDone records that a task has succeeded, and stops any other run of it.
+// taskDone records that a task has succeeded, and stops any other run of it. The members of a gang succeed together, so one end stands for all of them.
 func (c *Core) taskDone(t *task, r *run) {
 	if t.done || t.step.spec.LongRunning {
 		return
@@ -288,6 +288,11 @@
 		c.stop(t.run)
 	}
 	t.markDone()
+	if t.step.spec.Gang {
+		for _, member := range t.step.tasks {
+			member.markDone()
+		}
+	}
 	c.markDirty(o.job)
 	c.count("task_done")
 	if o.remaining == 0 && o.job.sub.Spec.Scheduled() {
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -365,3 +365,28 @@
 		})
 	}
 }
+
+// TestOneEndCompletesAGang guards against a gang that never completes, because the end of one member was lost with its server: members end together, so
+// the end of any of them stands for all (review/5).
+func TestOneEndCompletesAGang(t *testing.T) {
+	sim := newSimulation(39, 2)
+	sim.config.Workspaces = nil
+	sim.core.SetConfiguration(sim.config)
+	gang := stepOf(2, 3000)
+	gang.Gang = true
+	sim.submit(oldJob, gang)
+	sim.run(200 * time.Millisecond)
+	require.Equal(t, 2, sim.starts)
+	s0, s1 := sim.servers["s0"], sim.servers["s1"]
+	s1.cutOff = true
+	s1.runs = map[string]*fakeRun{} // its member has ended, and it crashes before it can report that
+	for task := range s0.runs {
+		s0.end(sim.now, task, jobs.EndDone)
+	}
+	sim.run(time.Second)
+	sim.restart(s1)
+	sim.run(8 * time.Second)
+	assert.Equal(t, jobs.Complete, sim.phase(oldJob))
+	assert.Equal(t, 2, sim.starts)
+	assert.Empty(t, sim.violations)
+}
