Add a soak of job nodes with real processes

Nodes run as processes of their own on stand-ins of the store, of the machine list and of servers that keep leases. A seed fixes the plan of faults and the load: signals, cuts, outages, restarts of servers under their ids, lost servers and changes of the configuration come in series and overlap, after a phase of planned work only. Callers keep their connections until a node's process is gone. The recorded history is checked for work that is lost, doubled, out of order, unasked or run although each try was rejected, and for processes that end by themselves.

--- /dev/null
+++ b/internal/soak/load_test.go
@@ -0,0 +1,252 @@
+package soak
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	// callTimeout is how long callers wait for an answer.
+	callTimeout = 3 * time.Second
+	// lossSlack is how long after its last byte a request may be cut off without having been read.
+	lossSlack = 250 * time.Millisecond
+	// contactTime is how long after a fault no bound holds.
+	contactTime  = 3 * time.Second
+	visibleTime  = 3500 * time.Millisecond // after its acceptance, every node knows a job
+	maxTries     = 5
+	clients      = 4
+	minPauseMS   = 200
+	spreadPause  = 400
+	statusUnsent = 0 // no answer
+)
+
+// submission is a job as its caller knows it.
+type submission struct {
+	id          string
+	steps       []stepSpec
+	longRunning bool
+	acceptedAt  time.Time // zero if it wasn't accepted
+	rejected    bool      // every try was rejected
+	cancelled   bool      // its cancelling was asked for
+	cancelledAt time.Time // when that was acknowledged
+}
+
+// load is what the callers have asked for.
+type load struct {
+	w     *world
+	seed  uint64
+	begun time.Time
+	stop  chan struct{}
+	wg    sync.WaitGroup
+
+	mu   sync.Mutex
+	jobs []*submission
+	rng  *rand.Rand // guarded by mu
+}
+
+// startLoad starts callers, which submit jobs until the load ends.
+func startLoad(w *world, seed uint64) *load {
+	l := &load{w: w, seed: seed, begun: time.Now(), stop: make(chan struct{}), rng: rand.New(rand.NewPCG(seed, 2))}
+	for i := range clients {
+		l.wg.Go(func() { l.callUntilStopped(i) })
+	}
+	return l
+}
+
+func (l *load) end() {
+	close(l.stop)
+	l.wg.Wait()
+}
+
+func (l *load) callUntilStopped(i int) {
+	c := newCaller(l.w, rand.New(rand.NewPCG(l.seed, uint64(10+i))))
+	for k := 0; ; k++ {
+		pause := time.Duration(minPauseMS+c.rng.IntN(spreadPause)) * time.Millisecond
+		select {
+		case <-l.stop:
+			return
+		case <-time.After(pause):
+		}
+		s := &submission{id: fmt.Sprintf("%08x%04x%04x", uint32(l.seed), i, k), steps: c.drawSteps()}
+		l.submit(c, s)
+		if k%3 == 0 {
+			l.checkVisible(c)
+		}
+	}
+}
+
+// submit submits a job, again after each try without an answer.
+func (l *load) submit(c *caller, s *submission) {
+	l.w.setSteps(s.id, s.steps)
+	body, err := json.Marshal(map[string]any{"spec": "x", "pipeline": s.steps})
+	if err != nil {
+		panic(err) // plain values always encode
+	}
+	l.mu.Lock()
+	l.jobs = append(l.jobs, s)
+	l.mu.Unlock()
+	rejections := 0
+	for try := range maxTries {
+		status, _ := c.call(http.MethodPost, s.id, body)
+		l.mu.Lock()
+		switch {
+		case status/100 == 2:
+			s.acceptedAt = time.Now()
+		case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+			rejections++
+			s.rejected = rejections == try+1
+		}
+		settled := !s.acceptedAt.IsZero() || s.rejected
+		l.mu.Unlock()
+		if settled {
+			return
+		}
+		c.changeNode()
+	}
+}
+
+// checkVisible asks for the state of a job that was accepted a while ago.
+func (l *load) checkVisible(c *caller) {
+	l.mu.Lock()
+	var s *submission
+	if len(l.jobs) > 0 {
+		s = l.jobs[c.rng.IntN(len(l.jobs))]
+	}
+	old := s != nil && !s.acceptedAt.IsZero() && time.Since(s.acceptedAt) > visibleTime
+	l.mu.Unlock()
+	if !old {
+		return
+	}
+	asked, n := time.Now(), c.node()
+	status, _ := c.call(http.MethodGet, s.id, nil)
+	if status == http.StatusGone && l.w.unplanned.quietSince(asked.Add(-contactTime)) {
+		l.w.violation("LOST %s was accepted, and %s says that there is no such job", s.id, n.name)
+	}
+}
+
+// cancelSome cancels the newest job, or one before it.
+func (l *load) cancelSome(back int) {
+	l.mu.Lock()
+	var s *submission
+	if i := len(l.jobs) - 1 - back; i >= 0 && !l.jobs[i].acceptedAt.IsZero() {
+		s = l.jobs[i]
+	}
+	l.mu.Unlock()
+	if s != nil {
+		l.cancel(s)
+	}
+}
+
+func (l *load) cancel(s *submission) {
+	l.mu.Lock()
+	s.cancelled = true
+	c := newCaller(l.w, rand.New(rand.NewPCG(l.seed, l.rng.Uint64())))
+	l.mu.Unlock()
+	for range maxTries {
+		status, _ := c.call(http.MethodDelete, s.id, nil)
+		if status/100 == 2 || status == http.StatusGone {
+			l.mu.Lock()
+			s.cancelledAt = time.Now()
+			l.mu.Unlock()
+			return
+		}
+		c.changeNode()
+	}
+}
+
+// submitLongRunning submits a long-running job whose constraints follow from a number.
+func (l *load) submitLongRunning(n int) {
+	l.mu.Lock()
+	c := newCaller(l.w, rand.New(rand.NewPCG(l.seed, l.rng.Uint64())))
+	s := &submission{id: fmt.Sprintf("%08xffff%04x", uint32(l.seed), len(l.jobs)), longRunning: true}
+	l.mu.Unlock()
+	step := stepSpec{Count: 1 + n%3, CPU: 500, MemoryMB: 100, LongRunning: true, AntiAffinity: n % 2}
+	if n%4 < 2 {
+		step.Affinity = racks[n%len(racks)]
+	}
+	s.steps = []stepSpec{step}
+	l.submit(c, s)
+}
+
+// submissions returns a copy of all jobs.
+func (l *load) submissions() []submission {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := make([]submission, 0, len(l.jobs))
+	for _, s := range l.jobs {
+		all = append(all, *s)
+	}
+	return all
+}
+
+// caller is a client that keeps its connection to a node open and uses it until the node's process is gone.
+type caller struct {
+	w    *world
+	rng  *rand.Rand
+	http http.Client
+	at   int
+}
+
+func newCaller(w *world, rng *rand.Rand) *caller {
+	return &caller{w: w, rng: rng, http: http.Client{Timeout: callTimeout, Transport: &http.Transport{}}, at: rng.IntN(len(w.nodes))}
+}
+
+func (c *caller) node() *node { return c.w.nodes[c.at%len(c.w.nodes)] }
+
+func (c *caller) changeNode() { c.at += 1 + c.rng.IntN(len(c.w.nodes)-1) }
+
+// drawSteps draws the steps of a job.
+func (c *caller) drawSteps() []stepSpec {
+	var steps []stepSpec
+	for i := range 1 + c.rng.IntN(2) {
+		ms := 200 + c.rng.IntN(1000)
+		s := stepSpec{Count: 1 + c.rng.IntN(5), CPU: 500 * (1 + c.rng.IntN(3)), MemoryMB: 100, EstimateMS: int64(ms), runTime: time.Duration(ms) * time.Millisecond}
+		if i > 0 {
+			s.After = []int{i - 1}
+		}
+		switch c.rng.IntN(4) {
+		case 0:
+			s.Count, s.AntiAffinity = min(s.Count, 2), 1
+		case 1:
+			s.Selector = racks[c.rng.IntN(len(racks))]
+		}
+		steps = append(steps, s)
+	}
+	return steps
+}
+
+// call makes a call and returns the status, which is statusUnsent without an answer. It records an answer that planned work has cut off.
+func (c *caller) call(method, id string, body []byte) (int, string) {
+	n := c.node()
+	req, err := http.NewRequest(method, "http://"+n.callers+queuePrefix+id, bytes.NewReader(body))
+	if err != nil {
+		return statusUnsent, err.Error()
+	}
+	req.Host = callerHost
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Comfreyrouter-Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
+	sent := time.Now()
+	resp, err := c.http.Do(req)
+	if err == nil {
+		var data []byte
+		data, err = io.ReadAll(resp.Body)
+		_ = resp.Body.Close() // it has been read
+		if err == nil {
+			return resp.StatusCode, string(data)
+		}
+	}
+	if askedAt, stopping := n.stopping(); stopping && !errors.Is(err, os.ErrDeadlineExceeded) && time.Since(sent) > lossSlack && time.Since(sent) < callTimeout &&
+		time.Since(askedAt) < grace && c.w.unplanned.quietSince(sent.Add(-contactTime)) {
+		c.w.violation("LOST %s %s is cut off after %v by the stop of %s: %v", method, id, time.Since(sent), n.name, err)
+	}
+	return statusUnsent, err.Error()
+}
--- /dev/null
+++ b/internal/soak/plan_test.go
@@ -0,0 +1,126 @@
+package soak
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// kind is a kind of event in a plan.
+type kind string
+
+const (
+	// Planned work. No request may be cut off by it.
+	stopNode        kind = "stop a node"   // SIGTERM, and a start once it has ended
+	reloadNode      kind = "reload a node" // SIGHUP
+	changeConfig    kind = "change the configuration"
+	cancelJobs      kind = "cancel jobs"
+	submitLasting   kind = "submit a long-running job"
+	killNode        kind = "kill a node"    // SIGKILL, and a start after a while
+	freezeNode      kind = "freeze a node"  // SIGSTOP and SIGCONT
+	cutZone         kind = "cut off a zone" // from the store, and from the nodes and servers of other zones
+	cutDispatcher   kind = "cut off the zone of the dispatcher"
+	cutNode         kind = "cut a node off from the store"
+	cutServer       kind = "cut off a server"
+	restartServer   kind = "restart a server" // under its id
+	loseServer      kind = "lose a server"    // with its machine, for good
+	storeDown       kind = "take the store down"
+	loseAnswers     kind = "lose answers of the store"
+	truncateHistory kind = "truncate the store's history"
+)
+
+// planned says which kinds are planned work or part of the load.
+var planned = map[kind]bool{stopNode: true, reloadNode: true, changeConfig: true, cancelJobs: true, submitLasting: true}
+
+// event is an event that begins at a time after the start of the load.
+type event struct {
+	at, lasts time.Duration
+	kind      kind
+	target    int // number of the node, zone or server
+}
+
+func (e event) String() string {
+	return fmt.Sprintf("%v: %s %d for %v", e.at, e.kind, e.target, e.lasts)
+}
+
+// weights are the kinds of events and how often they are drawn. The first phase of a plan has planned work only.
+var weights = []struct {
+	kind   kind
+	weight int
+}{
+	{stopNode, 4},
+	{reloadNode, 3},
+	{changeConfig, 3},
+	{cancelJobs, 2},
+	{submitLasting, 4},
+	{killNode, 4},
+	{freezeNode, 3},
+	{cutZone, 2},
+	{cutDispatcher, 4},
+	{cutNode, 2},
+	{cutServer, 3},
+	{restartServer, 4},
+	{loseServer, 1},
+	{storeDown, 2},
+	{loseAnswers, 2},
+	{truncateHistory, 1},
+}
+
+const (
+	plannedPhase = 6 * time.Second // of the plan, with planned work only
+	maxPause     = 1800 * time.Millisecond
+	seriesGap    = 250 * time.Millisecond // between the events of a series
+	maxSeries    = 4
+	maxLost      = 2 // servers that are lost for good
+	// maxCut is the longest cut, freeze or outage that the users' sites have.
+	maxCut = 5500 * time.Millisecond
+)
+
+// newPlan draws the events of a seed for a while. Events come alone or in series of a kind, and overlap.
+func newPlan(seed uint64, length time.Duration, nodes, servers int) []event {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	plan := []event{{kind: submitLasting, target: rng.IntN(servers)}, {kind: submitLasting, target: rng.IntN(servers)}}
+	lost := 0
+	for at := time.Duration(0); at < length; at += time.Duration(rng.Int64N(int64(maxPause))) {
+		k := drawKind(rng, at < plannedPhase)
+		for n := range 1 + rng.IntN(maxSeries) {
+			if k == loseServer {
+				if lost++; lost > maxLost {
+					break
+				}
+			}
+			e := event{at: at + time.Duration(n)*seriesGap, kind: k, target: rng.IntN(max(nodes, servers))}
+			e.lasts = 200*time.Millisecond + time.Duration(rng.Int64N(int64(maxCut-200*time.Millisecond)))
+			if k == restartServer {
+				e.lasts /= 4
+			}
+			plan = append(plan, e)
+			if rng.IntN(2) == 0 {
+				break
+			}
+		}
+	}
+	slices.SortStableFunc(plan, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+	return plan
+}
+
+func drawKind(rng *rand.Rand, onlyPlanned bool) kind {
+	total := 0
+	for _, w := range weights {
+		if !onlyPlanned || planned[w.kind] {
+			total += w.weight
+		}
+	}
+	n := rng.IntN(total)
+	for _, w := range weights {
+		if onlyPlanned && !planned[w.kind] {
+			continue
+		}
+		if n -= w.weight; n < 0 {
+			return w.kind
+		}
+	}
+	panic("unreachable: the weights add up to the total")
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,92 @@
+// Package soak runs nodes that accept jobs as processes of their own on stand-ins of the platform, under random faults, and checks the recorded history
+// against the users' rules. A seed fixes the plan of faults and the load; the processes' own timing differs between runs.
+//
+// A longer soak: go test ./internal/soak -run TestSoak -timeout 1h -args -soak.seeds=50 -soak.first=100
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"example.org/comfreyrouter/internal/command"
+)
+
+var (
+	seeds     = flag.Int("soak.seeds", 2, "number of seeds")
+	firstSeed = flag.Uint64("soak.first", 1, "first seed")
+	length    = flag.Duration("soak.length", 16*time.Second, "length of the plan of faults")
+	nodeCount = flag.Int("soak.nodes", 6, "number of nodes")
+	servers   = flag.Int("soak.servers", 8, "number of backend servers")
+)
+
+// programEnv makes this test binary run comfreyrouter instead of the tests, so that the nodes run the code under test.
+const programEnv = "COMFREYROUTER_SOAK_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(programEnv) != "" {
+		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+		code := command.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+		stop()
+		os.Exit(code)
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// TestSoak guards against work that is lost, doubled, started out of order or though it was rejected, and against processes that end by themselves,
+// while nodes, servers and the store fail and the configuration changes.
+func TestSoak(t *testing.T) {
+	for i := range *seeds {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			soak(t, seed)
+		})
+	}
+}
+
+func soak(t *testing.T, seed uint64) {
+	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
+	require.NoError(t, err)
+	w, err := startWorld(dir, *nodeCount, *servers)
+	defer w.close()
+	require.NoError(t, err)
+	l := startLoad(w, seed)
+	w.play(newPlan(seed, *length, *nodeCount, *servers), l)
+	l.end()
+	w.note("the faults have ended")
+	w.checkEnds(l)
+	w.note("the jobs have ended")
+	w.checkRuns(l)
+	accepted := 0
+	for _, s := range l.submissions() {
+		if !s.acceptedAt.IsZero() {
+			accepted++
+		}
+	}
+	t.Logf("seed %d: %d of %d jobs accepted, %d runs", seed, accepted, len(l.submissions()), w.countRuns())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.violations) == 0 {
+		_ = os.RemoveAll(dir) // a temporary folder
+		return
+	}
+	t.Errorf("seed %d, logs of the nodes in %s:\n%s\n%d violations:\n%s", seed, dir, strings.Join(w.notes, "\n"), len(w.violations), strings.Join(w.violations, "\n"))
+}
+
+func (w *world) countRuns() int {
+	n := 0
+	for _, spans := range w.spansByTask() {
+		n += len(spans)
+	}
+	return n
+}
