--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -48,7 +48,7 @@
 // stateOf returns why a job isn't as it should be after the faults, or an empty string.
 func (w *world) stateOf(c *caller, s submission, spans map[string][]span) string {
 	status, body := c.call(http.MethodGet, s.id, nil)
-	if status == statusUnsent || status == http.StatusServiceUnavailable {
+	if status == noAnswer || status == http.StatusServiceUnavailable {
 		c.changeNode()
 		return "no answer"
 	}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -42,7 +42,7 @@
 		w.configure()
 	case cancelJobs:
 		load.cancelSome(e.target)
-	case submitLasting:
+	case submitLongRunning:
 		load.submitLongRunning(e.target)
 	case cutZone:
 		w.changeZoneCuts(zone, 1)
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -18,14 +18,18 @@
 	callTimeout = 3 * time.Second
 	// lossSlack is how long after its last byte a request may be cut off without having been read.
 	lossSlack = 250 * time.Millisecond
-	// contactTime is how long after a fault no bound holds.
-	contactTime  = 3 * time.Second
-	visibleTime  = 3500 * time.Millisecond // after its acceptance, every node knows a job
-	maxTries     = 5
-	clients      = 4
-	minPauseMS   = 200
-	spreadPause  = 400
-	statusUnsent = 0 // no answer
+	// contactTime is how long after a fault no bound holds, as the users' rules define being in touch.
+	contactTime = 3 * time.Second
+	// visibleTime is how long after its acceptance every node knows a job: visible_ms of the users' sites, and some delay.
+	visibleTime = 3500 * time.Millisecond
+	// maxTries is the number of tries of a call: one more than the retries of the users' clients.
+	maxTries = 5
+	// clients is the number of callers. Each pauses for minPause and up to spreadPause more before a job.
+	clients     = 4
+	minPause    = 200 * time.Millisecond
+	spreadPause = 400 * time.Millisecond
+	// noAnswer stands for the status of a call without an answer.
+	noAnswer = 0
 )
 
 // submission is a job as its caller knows it.
@@ -69,7 +73,7 @@
 func (l *load) callUntilStopped(i int) {
 	c := newCaller(l.w, rand.New(rand.NewPCG(l.seed, uint64(10+i))))
 	for k := 0; ; k++ {
-		pause := time.Duration(minPauseMS+c.rng.IntN(spreadPause)) * time.Millisecond
+		pause := minPause + time.Duration(c.rng.Int64N(int64(spreadPause)))
 		select {
 		case <-l.stop:
 			return
@@ -223,12 +227,12 @@
 	return steps
 }
 
-// call makes a call and returns the status, which is statusUnsent without an answer. It records an answer that planned work has cut off.
+// call makes a call and returns the status, which is noAnswer without an answer. It records an answer that planned work has cut off.
 func (c *caller) call(method, id string, body []byte) (int, string) {
 	n := c.node()
 	req, err := http.NewRequest(method, "http://"+n.callers+queuePrefix+id, bytes.NewReader(body))
 	if err != nil {
-		return statusUnsent, err.Error()
+		return noAnswer, err.Error()
 	}
 	req.Host = callerHost
 	req.Header.Set("Authorization", "Bearer "+callerKey)
@@ -248,5 +252,5 @@
 		time.Since(askedAt) < grace && c.w.unplanned.quietSince(sent.Add(-contactTime)) {
 		c.w.violation("LOST %s %s is cut off after %v by the stop of %s: %v", method, id, time.Since(sent), n.name, err)
 	}
-	return statusUnsent, err.Error()
+	return noAnswer, err.Error()
 }
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -13,26 +13,26 @@
 
 const (
 	// Planned work. No request may be cut off by it.
-	stopNode        kind = "stop a node"   // SIGTERM, and a start once it has ended
-	reloadNode      kind = "reload a node" // SIGHUP
-	changeConfig    kind = "change the configuration"
-	cancelJobs      kind = "cancel jobs"
-	submitLasting   kind = "submit a long-running job"
-	killNode        kind = "kill a node"    // SIGKILL, and a start after a while
-	freezeNode      kind = "freeze a node"  // SIGSTOP and SIGCONT
-	cutZone         kind = "cut off a zone" // from the store, and from the nodes and servers of other zones
-	cutDispatcher   kind = "cut off the zone of the dispatcher"
-	cutNode         kind = "cut a node off from the store"
-	cutServer       kind = "cut off a server"
-	restartServer   kind = "restart a server" // under its id
-	loseServer      kind = "lose a server"    // with its machine, for good
-	storeDown       kind = "take the store down"
-	loseAnswers     kind = "lose answers of the store"
-	truncateHistory kind = "truncate the store's history"
+	stopNode          kind = "stop a node"   // SIGTERM, and a start once it has ended
+	reloadNode        kind = "reload a node" // SIGHUP
+	changeConfig      kind = "change the configuration"
+	cancelJobs        kind = "cancel jobs"
+	submitLongRunning kind = "submit a long-running job"
+	killNode          kind = "kill a node"    // SIGKILL, and a start after a while
+	freezeNode        kind = "freeze a node"  // SIGSTOP and SIGCONT
+	cutZone           kind = "cut off a zone" // from the store, and from the nodes and servers of other zones
+	cutDispatcher     kind = "cut off the zone of the dispatcher"
+	cutNode           kind = "cut a node off from the store"
+	cutServer         kind = "cut off a server"
+	restartServer     kind = "restart a server" // under its id
+	loseServer        kind = "lose a server"    // with its machine, for good
+	storeDown         kind = "take the store down"
+	loseAnswers       kind = "lose answers of the store"
+	truncateHistory   kind = "truncate the store's history"
 )
 
 // planned says which kinds are planned work or part of the load.
-var planned = map[kind]bool{stopNode: true, reloadNode: true, changeConfig: true, cancelJobs: true, submitLasting: true}
+var planned = map[kind]bool{stopNode: true, reloadNode: true, changeConfig: true, cancelJobs: true, submitLongRunning: true}
 
 // event is an event that begins at a time after the start of the load.
 type event struct {
@@ -54,7 +54,7 @@
 	{reloadNode, 3},
 	{changeConfig, 3},
 	{cancelJobs, 2},
-	{submitLasting, 4},
+	{submitLongRunning, 4},
 	{killNode, 4},
 	{freezeNode, 3},
 	{cutZone, 2},
@@ -69,11 +69,11 @@
 }
 
 const (
-	plannedPhase = 6 * time.Second // of the plan, with planned work only
-	maxPause     = 1800 * time.Millisecond
-	seriesGap    = 250 * time.Millisecond // between the events of a series
-	maxSeries    = 4
-	maxLost      = 2 // servers that are lost for good
+	plannedPhase = 6 * time.Second         // of the plan, with planned work only
+	maxPause     = 1800 * time.Millisecond // between two events or series
+	seriesGap    = 250 * time.Millisecond  // between the events of a series
+	maxSeries    = 4                       // events of a series
+	maxLost      = 2                       // servers that are lost for good
 	// maxCut is the longest cut, freeze or outage that the users' sites have.
 	maxCut = 5500 * time.Millisecond
 )
@@ -81,7 +81,7 @@
 // newPlan draws the events of a seed for a while. Events come alone or in series of a kind, and overlap.
 func newPlan(seed uint64, length time.Duration, nodes, servers int) []event {
 	rng := rand.New(rand.NewPCG(seed, 1))
-	plan := []event{{kind: submitLasting, target: rng.IntN(servers)}, {kind: submitLasting, target: rng.IntN(servers)}}
+	plan := []event{{kind: submitLongRunning, target: rng.IntN(servers)}, {kind: submitLongRunning, target: rng.IntN(servers)}}
 	lost := 0
 	for at := time.Duration(0); at < length; at += time.Duration(rng.Int64N(int64(maxPause))) {
 		k := drawKind(rng, at < plannedPhase)
--- a/internal/soak/server_test.go
+++ b/internal/soak/server_test.go
@@ -13,7 +13,7 @@
 	"example.org/comfreyrouter/platform"
 )
 
-// Sizes and times of the backend servers.
+// Sizes and times of the backend servers. The lease, the heartbeat and the list of ends are those of the users' platform.
 const (
 	serverCPU      = 16000
 	serverMB       = 16000
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -31,10 +31,10 @@
 	callerHost  = "shop.example"
 	queuePrefix = "/q/"
 	callerKey   = "key-1"
-	grace       = 6 * time.Second
+	grace       = 6 * time.Second  // between SIGTERM and SIGKILL, as on the users' sites
 	readyWithin = 60 * time.Second // a busy machine starts many processes slowly
 	ledgerTopic = "keyed.jobs"
-	roleKey     = "o"
+	roleKey     = "o" // of the record that names the dispatcher
 )
 
 // world is a fleet of nodes, each a process of its own, with the stand-ins of its platform.
