--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -51,9 +51,10 @@
 	stop  chan struct{}
 	wg    sync.WaitGroup
 
-	mu   sync.Mutex
-	jobs []*submission
-	rng  *rand.Rand // guarded by mu
+	mu          sync.Mutex
+	jobs        []*submission
+	longRunning int        // number of long-running jobs
+	rng         *rand.Rand // guarded by mu
 }
 
 // startLoad starts callers, which submit jobs until the load ends.
@@ -170,7 +171,8 @@
 func (l *load) submitLongRunning(n int) {
 	l.mu.Lock()
 	c := newCaller(l.w, rand.New(rand.NewPCG(l.seed, l.rng.Uint64())))
-	s := &submission{id: fmt.Sprintf("%08xffff%04x", uint32(l.seed), len(l.jobs)), longRunning: true}
+	s := &submission{id: fmt.Sprintf("%08xffff%04x", uint32(l.seed), l.longRunning), longRunning: true}
+	l.longRunning++
 	l.mu.Unlock()
 	step := stepSpec{Count: 1 + n%3, CPU: 500, MemoryMB: 100, LongRunning: true, AntiAffinity: n % 2}
 	if n%4 < 2 {
