--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -97,8 +97,8 @@
 	return j.inherited && (awaiting[c.serviceOf(j)] || awaiting[j.sub.Service])
 }
 
-// placeService starts tasks of one service in order of priority. Jobs are left out whose tasks may run on a server of an awaiting service. It returns how many jobs with a stored or requested mark still wait, or the number of all waiting jobs if no server is
-// schedulable.
+// placeService starts tasks of one service in order of priority. Jobs are left out whose tasks may run on a server of an awaiting service. It returns how
+// many jobs with a stored or requested mark still wait, or the number of all waiting jobs if no server is schedulable.
 func (c *Core) placeService(pool *serverPool, waiting []candidate, awaiting map[string]bool) int {
 	if pool == nil {
 		return len(waiting)
