--- a/review/kit2/cases.go
+++ b/review/kit2/cases.go
@@ -152,13 +152,13 @@
 
 // pendingCount: the only worker with a label refuses all starts for some seconds. Jobs for it wait, and are not counted as pending.
 func pendingCount(f *fleet, trouble bool) verdict {
-	deploy(f, 8, func(i int, w *worker) {
-		if i == 7 {
+	deploy(f, 12, func(i int, w *worker) {
+		if i == 11 {
 			w.kind = "b"
 		}
 	})
 	shed := func(on bool) {
-		w := f.workers[7]
+		w := f.workers[11]
 		w.mu.Lock()
 		w.shedding = on
 		w.mu.Unlock()
@@ -279,3 +279,35 @@
 	}
 	return ""
 }
+
+// quotaAfterHandover: a worker that runs all that its tenant may have running is cut off and runs on, and the node that dispatches is killed. Another job
+// of the tenant waits for its limit.
+func quotaAfterHandover(f *fleet, trouble bool) verdict {
+	f.limit = 64000
+	deploy(f, 8, nil)
+	full := f.submit(butik, "run_ms=12000", step{Count: 4, CPU: 16000, Mem: 6500, Estimate: 12000})
+	first, _ := f.workerOf(full.id+".0.0.0", 0, 10*time.Second)
+	if first == nil {
+		fail("the job hasn't started")
+	}
+	time.Sleep(2 * time.Second)
+	next := f.submit(butik, "run_ms=3000", step{Count: 4, CPU: 16000, Mem: 6500, Estimate: 3000})
+	time.Sleep(time.Second)
+	if trouble {
+		first.cut(true)
+		f.killDispatcher()
+		time.AfterFunc(5500*time.Millisecond, func() { first.cut(false) })
+	}
+	for _, j := range []*job{full, next} {
+		if phase := f.await(j, 40*time.Second); phase != "complete" {
+			fail("job %s is %q at the end", j.id, phase)
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	// cap x (1 + quota_overage) and one task more.
+	if allowed := f.limit*11/10 + 16000; f.most > allowed {
+		return verdict(fmt.Sprintf("the tenant had %d thousandths of a core running; its cap is %d, and %d are allowed", f.most, f.limit, allowed))
+	}
+	return ""
+}
--- a/review/kit2/fleet.go
+++ b/review/kit2/fleet.go
@@ -72,7 +72,8 @@
 	workers []*worker
 	nodes   []*node
 	cloud   string
-	version int // of the configuration
+	version int   // of the configuration
+	limit   int64 // processors that the tenant may have running, in thousandths
 	client  *http.Client
 
 	mu       sync.Mutex
@@ -80,6 +81,8 @@
 	running  map[string]map[string]time.Time // runs at work, by task and then by place and attempt
 	overlaps []overlap
 	longest  time.Duration // longest overlap
+	inUse    int64         // processors of all runs, in thousandths
+	most     int64         // the most that were in use at a time
 	holds    map[string]time.Time
 	stops    []stopped
 	lastRun  map[string]time.Time // when a run of a job last began or ended, by job
@@ -126,7 +129,7 @@
 		fail("%v", err)
 	}
 	f := &fleet{
-		store: keyedstore.New(), folder: folder, began: time.Now(), record: record, jobs: map[string]*job{}, version: 1, running: map[string]map[string]time.Time{},
+		store: keyedstore.New(), folder: folder, began: time.Now(), record: record, jobs: map[string]*job{}, version: 1, limit: 2000000, running: map[string]map[string]time.Time{},
 		holds: map[string]time.Time{}, lastRun: map[string]time.Time{}, done: map[string]bool{}, client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	current = f
@@ -177,6 +180,8 @@
 		f.note("TWO RUNS AT ONCE of %s: %s is at work, and %s begins", r.task, other, place)
 	}
 	f.running[r.task][place] = time.Now()
+	f.inUse += r.cpu
+	f.most = max(f.most, f.inUse)
 }
 
 func (f *fleet) ended(w *worker, r *run, how string) {
@@ -185,6 +190,7 @@
 	place := fmt.Sprintf("%s life %d attempt %d", w.id, w.life, r.attempt)
 	together := len(f.running[r.task]) > 1
 	delete(f.running[r.task], place)
+	f.inUse -= r.cpu
 	id, _, _ := strings.Cut(r.task, ".")
 	f.lastRun[id] = time.Now()
 	if how == "done" {
@@ -266,22 +272,33 @@
 	}
 	value, _ := json.Marshal(map[string]any{
 		"version": f.version, "routes": routes, "services": services, "limits": map[string]any{"max_body_bytes": 262144},
-		"tenants": []any{map[string]any{"name": tenant, "api_keys": []string{apiKey}, "weight": 100, "cap": map[string]any{"cpu": 2000000, "mem_mb": 8000000, "gpu": 0}}},
+		"tenants": []any{map[string]any{"name": tenant, "api_keys": []string{apiKey}, "weight": 100, "cap": map[string]any{"cpu": f.limit, "mem_mb": 8000000, "gpu": 0}}},
 	})
 	f.store.Put("keyed.op", "config", value)
 }
 
+// storeLatency is how long the store takes for an answer, besides the wait for a record that a read asks for.
+const storeLatency = 4 * time.Millisecond
+
+// delayed is the store with its latency.
+func (f *fleet) delayed() http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		time.Sleep(storeLatency)
+		f.store.ServeHTTP(rw, r)
+	})
+}
+
 // startPlatform serves the store and the list of machines. Nothing here orders a move: each case has one pool.
 func (f *fleet) startPlatform() string {
 	store, cloud := listen(), listen()
-	go func() { _ = http.Serve(store, f.store) }()
+	go func() { _ = http.Serve(store, f.delayed()) }()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /machines", func(rw http.ResponseWriter, _ *http.Request) {
 		rows := []any{}
 		for _, w := range f.workers {
 			w.mu.Lock()
 			phase, id := "up", w.id
-			if w.state != isUp {
+			if w.state != isUp && w.state != isCut {
 				phase, id = "down", ""
 			}
 			rows = append(rows, map[string]any{
--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -14,7 +14,7 @@
 
 func main() {
 	cases := map[string]func(*fleet, bool) verdict{
-		"crashed-thrice": crashedThrice, "suspects": suspects, "lost-together": lostTogether, "waiting-for-a-lost-worker": waitingForLostWorker, "pending": pendingCount, "power-cycle": powerCycle,
+		"crashed-thrice": crashedThrice, "suspects": suspects, "quota": quotaAfterHandover, "lost-together": lostTogether, "waiting-for-a-lost-worker": waitingForLostWorker, "pending": pendingCount, "power-cycle": powerCycle,
 		"silent-connections": silentConnections,
 	}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
--- a/review/kit2/silent.go
+++ b/review/kit2/silent.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -24,13 +26,18 @@
 	}
 	f.startNodes(6, store.address())
 	time.Sleep(settle)
-	for i := range 18 {
-		if f.submitAt(i, butik, "run_ms=300", step{Count: 1, CPU: 3500, Mem: 6500, Estimate: 300}).accepted.IsZero() {
-			fail("a job wasn't accepted")
-		}
-		time.Sleep(350 * time.Millisecond)
+	// Clients hand in about as many jobs as on the site, and then none for a while: connections that stay idle go silent.
+	var clients sync.WaitGroup
+	for range 12 {
+		clients.Go(func() {
+			for range 20 {
+				f.submit(butik, "run_ms=300", step{Count: 1, CPU: 500, Mem: 500, Estimate: 300})
+				time.Sleep(time.Duration(500+rand.IntN(1000)) * time.Millisecond)
+			}
+		})
 	}
-	time.Sleep(1500 * time.Millisecond)
+	clients.Wait()
+	time.Sleep(2 * time.Second)
 	silentAt := time.Now()
 	if trouble {
 		f.note("%d connections to the store go silent", store.silence())
--- a/review/kit2/worker.go
+++ b/review/kit2/worker.go
@@ -31,6 +31,7 @@
 	isUp      outage = iota
 	isDark           // without power: connections are silent
 	isCrashed        // its process has ended: connections are reset
+	isCut            // cut off from all nodes, and runs on
 )
 
 // run is one run of a task on a worker.
@@ -127,7 +128,7 @@
 		w.mu.Lock()
 		state, stale := w.state, w.conns[c] != w.life
 		w.mu.Unlock()
-		if state == isDark {
+		if state == isDark || state == isCut {
 			w.silence(r)
 		}
 		if state == isCrashed || stale {
@@ -188,12 +189,23 @@
 	}()
 }
 
+// cut cuts the worker off from all nodes, or joins it again. It reaches the store all the while.
+func (w *worker) cut(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.state = isUp
+	if on {
+		w.state = isCut
+	}
+	w.fleet.note("worker %s: cut off: %v", w.id, on)
+}
+
 func (w *worker) clock() int64 { return time.Since(w.born).Milliseconds() }
 
 func (w *worker) register() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.state != isUp || time.Since(w.born) < w.registerAfter {
+	if w.state != isUp && w.state != isCut || time.Since(w.born) < w.registerAfter {
 		return
 	}
 	w.sequence++
