--- a/review/kit2/silent.go
+++ b/review/kit2/silent.go
@@ -24,13 +24,13 @@
 		f.workers = append(f.workers, w)
 		w.serve()
 	}
-	f.startNodes(6, store.address())
+	f.startNodes(9, store.address())
 	time.Sleep(settle)
 	// Clients hand in about as many jobs as on the site, and then none for a while: connections that stay idle go silent.
 	var clients sync.WaitGroup
-	for range 12 {
+	for range 16 {
 		clients.Go(func() {
-			for range 20 {
+			for range 25 {
 				f.submit(butik, "run_ms=300", step{Count: 1, CPU: 500, Mem: 500, Estimate: 300})
 				time.Sleep(time.Duration(500+rand.IntN(1000)) * time.Millisecond)
 			}
