Send calls only to the incarnation of a server for which they are meant

Cause: both incarnations share the id and the address, by which all calls are addressed. A connection belongs to the process that has accepted it. Each incarnation now has its own connections, and a new one is used only after the server has named its incarnation on it. If another one answers, the call isn't sent and the dispatcher knows of the restart at once.

--- a/dispatch/cutoff_test.go
+++ b/dispatch/cutoff_test.go
@@ -9,7 +9,7 @@
 		switch {
 		case !s.up:
 			sim.entries[id] = listEntry{} // it has left
-		case !s.cutOff:
+		case !s.cutOff && sim.now >= s.listedFrom:
 			sim.entries[id] = listEntry{s.info, sim.now}
 		}
 	}
@@ -46,10 +46,13 @@
 	p.Advance(sim.now, sim.wall(), false)
 	for _, id := range slices.Sorted(slices.Values(p.Servers())) {
 		r, _ := p.NextRenewal(id)
-		if s := sim.servers[id]; s != nil && s.up && s.behindCut {
-			sim.answerRenewal(p, s, r)
-		} else {
+		switch s := sim.servers[id]; {
+		case s == nil || !s.up || !s.behindCut:
 			p.RenewalUnanswered(id, sim.now-tick, tick)
+		case s.info.BornMS != r.Server.BornMS:
+			p.ServerRestarted(r.Server, s.info.BornMS)
+		default:
+			sim.answerRenewal(p, s, r)
 		}
 	}
 	p.Schedule()
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -89,6 +89,9 @@
 		m.servers[id].info.Labels = []string{modelRacks[i%len(modelRacks)]}
 	}
 	m.maxListedEnds = 4
+	if m.rng.IntN(2) == 0 {
+		m.longPolls = map[string]*longPoll{}
+	}
 	m.config.Workspaces = append(m.config.Workspaces, jobs.Workspace{Name: "services"}, jobs.Workspace{Name: "load"})
 	m.core.SetConfiguration(m.config)
 	return m
@@ -171,11 +174,15 @@
 	return found[m.rng.IntN(len(found))]
 }
 
-// restartAtOnce ends a server, which comes back under its id before anybody notices.
+// firstEntryDelay is the longest time from the start of a server to its first entry in the server list: a heartbeat interval.
+const firstEntryDelay = 1500 * time.Millisecond
+
+// restartAtOnce ends a server, which comes back under its id before anybody notices, and writes its first entry a while later.
 func (m *model) restartAtOnce(s *fakeServer) {
 	cutOff, behindCut := s.cutOff, s.behindCut
 	m.restart(s)
 	s.cutOff, s.behindCut = cutOff, behindCut
+	s.listedFrom = m.now + time.Duration(m.rng.Int64N(int64(firstEntryDelay)))
 }
 
 func (m *model) randomRack() string { return modelRacks[m.rng.IntN(len(modelRacks))] }
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -39,7 +39,7 @@
 		c.markDirty(j)
 	}
 	ticket, _ := c.ticketFor(t.step, s) // chooseServer has checked that the ticket exists if one is needed
-	c.orders = append(c.orders, Order{Server: s.info, Start: &jobs.Order{
+	c.orders = append(c.orders, Order{Server: s.target(), Start: &jobs.Order{
 		LongRunning: t.step.spec.LongRunning, Ticket: ticket, Task: t.id, Attempt: r.attempt, Text: j.sub.Spec.Text, Checkpoint: t.checkpoint, LeaseUntil: c.grantLease(s), Fence: c.params.Epoch,
 	}})
 }
@@ -89,7 +89,7 @@
 	r.state = runStopping
 	r.stopSent, r.stopConfirmed = true, false
 	r.stopRetryAt = c.now + stopRetryInterval
-	c.orders = append(c.orders, Order{Server: r.server.info, Stop: &StopOrder{r.task.id.String(), r.attempt}})
+	c.orders = append(c.orders, Order{Server: r.server.target(), Stop: &StopOrder{r.task.id.String(), r.attempt}})
 }
 
 func (c *Core) findRun(server, key string, attempt int64) *run {
@@ -109,7 +109,7 @@
 	if r == nil {
 		return
 	}
-	if result != jobs.StartUnknown {
+	if result != jobs.StartUnknown && result != jobs.StartRestarted {
 		r.server.heardAt = c.now
 	}
 	if r.state != runStarting {
@@ -126,7 +126,7 @@
 		r.state = runUnknown
 		c.countServerFailure(r.server)
 	case jobs.StartWrongInstance:
-		c.ServerReplaced(r.server.info)
+		c.ServerReplaced(r.server.target())
 	default:
 		c.startRefused(r, result)
 	}
@@ -141,6 +141,8 @@
 		r.server.backoffUntil = max(r.server.backoffUntil, c.now+failureDelay)
 	case jobs.StartNoTicket:
 		c.invalidateTicket(r.task.step, r.server.info.ID) // not a failure of the server
+	case jobs.StartRestarted:
+		r.server.unresponsive = true // until its present incarnation reports
 	default:
 		c.countServerFailure(r.server)
 	}
@@ -152,7 +154,7 @@
 
 var refusalNames = map[jobs.StartResult]string{
 	jobs.StartNoCapacity: "room", jobs.StartFenced: "fenced", jobs.StartSuperseded: "old", jobs.StartLeaseExpired: "late",
-	jobs.StartUnhealthy: "unhealthy", jobs.StartInvalid: "invalid", jobs.StartNoTicket: "ticket",
+	jobs.StartUnhealthy: "unhealthy", jobs.StartInvalid: "invalid", jobs.StartNoTicket: "ticket", jobs.StartRestarted: "restarted",
 }
 
 // StopAnswered handles the answer to a stop.
@@ -221,7 +223,7 @@
 		return
 	}
 	c.count("run_unwanted")
-	c.orders = append(c.orders, Order{Server: s.info, Stop: &StopOrder{a.Task, a.Attempt}})
+	c.orders = append(c.orders, Order{Server: s.target(), Stop: &StopOrder{a.Task, a.Attempt}})
 }
 
 // findTask returns the task with the given id, or nil.
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -28,6 +28,13 @@
 	return c.servers[i.server.info.ID] == i.server && i.server.restarts == i.restarts
 }
 
+// target returns the server with its present incarnation, for calls. Its entry in the server list may describe a former one.
+func (s *server) target() jobs.Server {
+	t := s.info
+	t.BornMS = s.bornMS
+	return t
+}
+
 // described reports whether the last entry of a server describes its present incarnation. Its reports may name a later one than the server list.
 func (s *server) described() bool { return s.info.BornMS == 0 || s.info.BornMS == s.bornMS }
 
@@ -117,8 +124,9 @@
 // awaited reports whether a predecessor may have started tasks on a server that hasn't reported to this dispatcher.
 func (s *server) awaited() bool { return s.inherited && !s.reconciled }
 
-// serverRestarted handles a new incarnation of a server with the same id. Everything that ran on the previous one is lost. An awaited server stays
-// awaited: the restart may have been long ago, and a predecessor may have started tasks on the new incarnation since.
+// serverRestarted handles a new incarnation of a server with the same id. Everything that ran on the previous one is lost, and no call for that one has
+// reached the new one. An awaited server stays awaited: the restart may have been long ago, and a predecessor may have started tasks on the new
+// incarnation since.
 func (c *Core) serverRestarted(s *server, bornMS int64) {
 	c.reportProblem(s, "server_reborn")
 	c.serverCrashed(s)
@@ -192,7 +200,7 @@
 	if s == nil {
 		return Renewal{}, false
 	}
-	r := Renewal{Server: s.info, AckCursor: s.storedEnd}
+	r := Renewal{Server: s.target(), AckCursor: s.storedEnd}
 	for _, run := range s.runs {
 		r.WarmingUp = r.WarmingUp || run.task.step.spec.LongRunning && run.percent < servingPercent && run.state == runActive
 	}
@@ -255,7 +263,7 @@
 // has restarted since the order was sent, possibly at another address.
 func (c *Core) ServerReplaced(asked jobs.Server) {
 	s := c.servers[asked.ID]
-	if s == nil || s.info.BornMS != asked.BornMS || s.info.Address != asked.Address {
+	if s == nil || s.bornMS != asked.BornMS || s.info.Address != asked.Address {
 		return
 	}
 	c.reportProblem(s, "server_gone")
@@ -263,6 +271,13 @@
 	c.serverTerminated(s)
 }
 
+// ServerRestarted records that a later incarnation of a server has answered, which got nothing that was meant for the one that was asked.
+func (c *Core) ServerRestarted(asked jobs.Server, bornMS int64) {
+	if s := c.servers[asked.ID]; s != nil && s.bornMS == asked.BornMS && bornMS > s.bornMS {
+		c.serverRestarted(s, bornMS)
+	}
+}
+
 // expireLeases removes the runs of a server whose leases have expired, and the server itself if it is unlisted. It does nothing unless this
 // dispatcher is known to be the only one.
 func (c *Core) expireLeases(id string) {
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -40,12 +40,19 @@
 	failing     bool
 	stalled     bool // its tasks make no progress
 	behindCut   bool // the cut-off predecessor reaches it
+	// listedFrom is when the present incarnation writes its first entry into the server list.
+	listedFrom time.Duration
 }
 
 func (s *fakeServer) clock(now time.Duration) int64 {
 	return int64(float64((now - s.bornAt).Milliseconds()) * s.rate)
 }
 
+// extend extends the lease of all runs up to a time on the server's clock, for testMaxLease at most.
+func (s *fakeServer) extend(now time.Duration, until int64) {
+	s.lease = max(s.lease, min(until, s.clock(now)+testMaxLease.Milliseconds()))
+}
+
 func (s *fakeServer) used(spec map[string]jobs.Step) jobs.Resources {
 	var r jobs.Resources
 	for task := range s.runs {
@@ -62,11 +69,12 @@
 	delete(s.runs, task)
 }
 
-// delayedOrder is an order that reaches its server late.
+// delayedOrder is an order that its server has received and carries out late.
 type delayedOrder struct {
-	at    time.Duration
-	order Order
-	epoch int64
+	at       time.Duration
+	order    Order
+	epoch    int64
+	received int64 // start of the incarnation that has received it
 }
 
 // listEntry is a server's entry in the platform's server list.
@@ -110,8 +118,9 @@
 }
 
 const (
-	testLease   = 4 * time.Second
-	testSilence = time.Second
+	testLease    = 4 * time.Second
+	testMaxLease = 10 * time.Second
+	testSilence  = time.Second
 )
 
 func newSimulation(seed uint64, servers int) *simulation {
@@ -206,7 +215,9 @@
 		sim.advanceTasks(sim.servers[id])
 	}
 	for len(sim.delayedOrders) > 0 && sim.delayedOrders[0].at <= sim.now {
-		sim.execute(sim.delayedOrders[0].epoch, sim.delayedOrders[0].order)
+		if d := sim.delayedOrders[0]; sim.servers[d.order.Server.ID] != nil && sim.servers[d.order.Server.ID].info.BornMS == d.received {
+			sim.execute(d.epoch, d.order) // otherwise the order was lost with the incarnation that had received it
+		}
 		sim.delayedOrders = sim.delayedOrders[1:]
 	}
 	sim.stepPredecessor()
@@ -273,6 +284,10 @@
 		sim.core.RenewalUnanswered(id, sim.now-tick, tick)
 		return
 	}
+	if s.info.BornMS != r.Server.BornMS {
+		sim.core.ServerRestarted(r.Server, s.info.BornMS)
+		return
+	}
 	sim.answerRenewal(sim.core, s, r)
 }
 
@@ -291,12 +306,16 @@
 		if !ok {
 			return
 		}
+		if s := sim.servers[id]; s != nil && s.up && !s.cutOff && s.info.BornMS != r.Server.BornMS {
+			sim.core.ServerRestarted(r.Server, s.info.BornMS)
+			return
+		}
 		p = &longPoll{r, sim.now, sim.rng.Float64() < sim.lossRate}
 		sim.longPolls[id] = p
 	}
 	s, waited := sim.servers[id], sim.now-p.sentAt
 	switch {
-	case p.lost || s == nil || !s.up || s.cutOff:
+	case p.lost || s == nil || !s.up || s.cutOff || s.info.BornMS != p.renewal.Server.BornMS:
 		if timeout := p.renewal.Wait + platform.RenewalTimeout; waited >= timeout {
 			delete(sim.longPolls, id)
 			sim.core.RenewalUnanswered(id, p.sentAt, timeout)
@@ -313,7 +332,7 @@
 		return
 	}
 	s.fence = c.params.Epoch
-	s.lease = max(s.lease, r.LeaseUntil)
+	s.extend(sim.now, r.LeaseUntil)
 	// An end counts from its acknowledgement on. By the users' rules it also counts 100 ms after it was reported, but not near a fault, and the
 	// dispatcher stores within two ticks.
 	s.ended = slices.DeleteFunc(s.ended, func(e jobs.End) bool {
@@ -355,11 +374,11 @@
 		s := sim.servers[o.Server.ID]
 		reached := s != nil && s.up && (c == sim.core && !s.cutOff || c == sim.predecessor && s.behindCut)
 		if reached && sim.rng.Float64() >= sim.lossRate {
-			answer(c, o, sim.execute(c.params.Epoch, o))
+			answer(c, o, sim.deliver(c.params.Epoch, o))
 			continue
 		}
-		if reached {
-			sim.delayedOrders = append(sim.delayedOrders, delayedOrder{sim.now + 2*time.Second + time.Duration(sim.rng.IntN(3000))*time.Millisecond, o, c.params.Epoch})
+		if reached && s.info.BornMS == o.Server.BornMS {
+			sim.delayedOrders = append(sim.delayedOrders, delayedOrder{sim.now + 2*time.Second + time.Duration(sim.rng.IntN(3000))*time.Millisecond, o, c.params.Epoch, s.info.BornMS})
 			slices.SortStableFunc(sim.delayedOrders, func(a, b delayedOrder) int { return int(a.at - b.at) })
 		}
 		answer(c, o, jobs.StartUnknown)
@@ -375,10 +394,19 @@
 	}
 }
 
+// deliver sends an order to the incarnation of a server for which it is meant, as package platform does. The server itself can't tell its incarnations
+// apart.
+func (sim *simulation) deliver(epoch int64, o Order) jobs.StartResult {
+	if s := sim.servers[o.Server.ID]; s.info.BornMS != o.Server.BornMS {
+		return jobs.StartRestarted
+	}
+	return sim.execute(epoch, o)
+}
+
 // execute handles an order of the dispatcher of an epoch as a server does.
 func (sim *simulation) execute(epoch int64, o Order) jobs.StartResult {
 	s := sim.servers[o.Server.ID]
-	if s == nil || !s.up || s.info.BornMS != o.Server.BornMS {
+	if s == nil || !s.up {
 		return jobs.StartUnknown
 	}
 	if epoch < s.fence {
@@ -407,7 +435,7 @@
 		return jobs.Started
 	}
 	s.fence = max(s.fence, o.Fence)
-	s.lease = max(s.lease, o.LeaseUntil)
+	s.extend(sim.now, o.LeaseUntil)
 	sim.checkStart(s, o)
 	sim.starts++
 	r := &fakeRun{attempt: o.Attempt, endsAt: sim.now + time.Duration(300+sim.rng.IntN(900))*time.Millisecond, how: jobs.EndDone}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -64,6 +64,15 @@
 		s.changeCuts(-1)
 	case restartServer:
 		w.restartServer(s, e.lasts)
+	case powerCycleServer:
+		s.mu.Lock()
+		up := s.up
+		s.mu.Unlock()
+		if up {
+			s.losePower()
+			time.Sleep(e.lasts)
+			s.regainPower()
+		}
 	case loseServer:
 		s.mu.Lock()
 		s.lost = true
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -24,8 +24,9 @@
 	cutDispatcher     kind = "cut off the zone of the dispatcher"
 	cutNode           kind = "cut a node off from the store"
 	cutServer         kind = "cut off a server"
-	restartServer     kind = "restart a server" // under its id
-	loseServer        kind = "lose a server"    // with its machine, for good
+	restartServer     kind = "restart a server"     // under its id, with its connections closed
+	powerCycleServer  kind = "power-cycle a server" // under its id, with silent connections
+	loseServer        kind = "lose a server"        // with its machine, for good
 	storeDown         kind = "take the store down"
 	loseAnswers       kind = "lose answers of the store"
 	truncateHistory   kind = "truncate the store's history"
@@ -45,11 +46,24 @@
 	return fmt.Sprintf("%v: %s %d for %v", e.at, e.kind, e.target, e.lasts)
 }
 
-// weights are the kinds of events and how often they are drawn. The first phase of a plan has planned work only.
-var weights = []struct {
+// weight says how often a kind of event is drawn.
+type weight struct {
 	kind   kind
 	weight int
-}{
+}
+
+// serverWeights are those of plans in which above all servers fail.
+var serverWeights = []weight{
+	{submitLongRunning, 2},
+	{powerCycleServer, 12},
+	{restartServer, 2},
+	{cutServer, 3},
+	{killNode, 1},
+	{cutDispatcher, 1},
+}
+
+// allWeights are those of plans with every kind of event. The first phase of a plan has planned work only.
+var allWeights = []weight{
 	{stopNode, 4},
 	{reloadNode, 3},
 	{changeConfig, 3},
@@ -62,6 +76,7 @@
 	{cutNode, 2},
 	{cutServer, 3},
 	{restartServer, 4},
+	{powerCycleServer, 4},
 	{loseServer, 1},
 	{storeDown, 2},
 	{loseAnswers, 2},
@@ -79,12 +94,12 @@
 )
 
 // newPlan draws the events of a seed for a while. Events come alone or in series of a kind, and overlap.
-func newPlan(seed uint64, length time.Duration, nodes, servers int) []event {
+func newPlan(seed uint64, weights []weight, length time.Duration, nodes, servers int) []event {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	plan := []event{{kind: submitLongRunning, target: rng.IntN(servers)}, {kind: submitLongRunning, target: rng.IntN(servers)}}
 	lost := 0
 	for at := time.Duration(0); at < length; at += time.Duration(rng.Int64N(int64(maxPause))) {
-		k := drawKind(rng, at < plannedPhase)
+		k := drawKind(rng, weights, at < plannedPhase)
 		for n := range 1 + rng.IntN(maxSeries) {
 			if k == loseServer {
 				if lost++; lost > maxLost {
@@ -93,7 +108,7 @@
 			}
 			e := event{at: at + time.Duration(n)*seriesGap, kind: k, target: rng.IntN(max(nodes, servers))}
 			e.lasts = 200*time.Millisecond + time.Duration(rng.Int64N(int64(maxCut-200*time.Millisecond)))
-			if k == restartServer {
+			if k == restartServer || k == powerCycleServer {
 				e.lasts /= 4
 			}
 			plan = append(plan, e)
@@ -106,7 +121,7 @@
 	return plan
 }
 
-func drawKind(rng *rand.Rand, onlyPlanned bool) kind {
+func drawKind(rng *rand.Rand, weights []weight, onlyPlanned bool) kind {
 	total := 0
 	for _, w := range weights {
 		if !onlyPlanned || planned[w.kind] {
--- a/internal/soak/server_test.go
+++ b/internal/soak/server_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -50,7 +51,8 @@
 	incarnation int
 	http        *http.Server
 	up, lost    bool
-	cuts        int // cuts that are open
+	dark        bool // it has no power: its connections are silent
+	cuts        int  // cuts that are open
 	born        time.Time
 	lapsedAt    time.Time // when the lease last expired
 	lease       int64
@@ -65,7 +67,10 @@
 	spans       []*span
 }
 
-// boot starts an incarnation.
+// connKey is the key under which the context of a call has the incarnation that accepted its connection.
+type connKey struct{}
+
+// boot starts a process with its first incarnation.
 func (s *server) boot() error {
 	address := s.address
 	if address == "" {
@@ -77,36 +82,73 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.incarnation++
 	mux := http.NewServeMux()
 	for path, handle := range map[string]func(http.ResponseWriter, *http.Request, order){
 		"/run-start": s.handleStart, "/run-stop": s.handleStop, "/hold": s.handleHold,
 		"/pace": func(w http.ResponseWriter, _ *http.Request, _ order) { s.reply(w, http.StatusOK, map[string]any{}) },
 	} {
-		mux.HandleFunc("POST "+path, s.handle(s.incarnation, handle))
+		mux.HandleFunc("POST "+path, s.handle(handle))
 	}
-	s.address, s.up, s.born, s.lease, s.fence, s.lastEnd, s.ends = l.Addr().String(), true, time.Now(), 0, 0, 0, nil
-	s.active, s.newest, s.endAdded = map[string]*serverRun{}, map[string]int64{}, make(chan struct{})
-	s.http = &http.Server{Handler: mux}
+	s.address = l.Addr().String()
+	s.begin()
+	s.http = &http.Server{Handler: mux, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return context.WithValue(ctx, connKey{}, s.incarnation)
+	}}
 	go func(h *http.Server) { _ = h.Serve(l) }(s.http) // ends with Close
 	s.writeEntry()
 	return nil
 }
 
-// crash ends the incarnation with all of its runs.
+// begin begins an incarnation. The lock must be held.
+func (s *server) begin() {
+	s.incarnation++
+	s.up, s.dark, s.born, s.lease, s.fence, s.lastEnd, s.ends = true, false, time.Now(), 0, 0, 0, nil
+	s.active, s.newest, s.endAdded = map[string]*serverRun{}, map[string]int64{}, make(chan struct{})
+}
+
+// crash ends the incarnation with all of its runs and breaks its connections.
 func (s *server) crash() {
 	s.mu.Lock()
-	if !s.up {
+	if !s.up && !s.dark {
 		s.mu.Unlock()
 		return
 	}
+	s.endRuns()
+	s.dark = false
+	h := s.http
+	s.mu.Unlock()
+	_ = h.Close()
+}
+
+// endRuns ends the incarnation with all of its runs. The lock must be held.
+func (s *server) endRuns() {
 	s.up = false
 	for _, r := range s.active {
 		r.span.to, r.span.how = time.Now(), "crashed"
 	}
-	h := s.http
-	s.mu.Unlock()
-	_ = h.Close() // breaks all connections
+	s.active = map[string]*serverRun{}
+}
+
+// losePower ends the incarnation without a sign: all calls stay unanswered.
+func (s *server) losePower() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endRuns()
+	s.dark = true
+}
+
+// regainPower begins an incarnation, which writes its first entry half a heartbeat interval later. It resets the connections of former ones when bytes
+// arrive on them.
+func (s *server) regainPower() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.dark {
+		return
+	}
+	s.begin()
+	s.writtenAt = time.Now().Add(-heartbeat / 2)
 }
 
 func (s *server) clock() int64 { return time.Since(s.born).Milliseconds() }
@@ -182,24 +224,25 @@
 	Fence       int64  `json:"fencing_token"`
 	AckCursor   int64  `json:"ack_cursor"`
 	WaitMS      int64  `json:"wait_ms"`
-	incarnation int    // that received the call
+	incarnation int    // that accepted the connection
 }
 
-// handle reads a call and checks its instance and its fencing token. A call across a cut has no effect and gets no answer.
-func (s *server) handle(incarnation int, next func(http.ResponseWriter, *http.Request, order)) http.HandlerFunc {
+// handle reads a call and checks its instance and its fencing token. A call across a cut, or while there is no power, has no effect and gets no answer.
+func (s *server) handle(next func(http.ResponseWriter, *http.Request, order)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		o := order{incarnation: incarnation}
+		o := order{incarnation: r.Context().Value(connKey{}).(int)}
 		data, err := io.ReadAll(r.Body)
 		if err != nil || json.Unmarshal(data, &o) != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
 		s.dropIfCut(r, o)
+		s.resetIfStale(o)
 		if want := r.Header.Get("Comfreyrouter-Expect-Instance"); want != "" && want != s.id {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		s.lockFor(o)
+		s.lockFor(r, o)
 		if o.Fence < s.fence {
 			s.mu.Unlock()
 			s.reply(w, http.StatusConflict, map[string]any{"reason": "fence"})
@@ -211,12 +254,22 @@
 	}
 }
 
+// resetIfStale resets the connection of a call that a former incarnation has accepted.
+func (s *server) resetIfStale(o order) {
+	s.mu.Lock()
+	stale := s.up && s.incarnation != o.incarnation
+	s.mu.Unlock()
+	if stale {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // lockFor takes the lock for a call. A call to an incarnation that has ended has no effect and gets no answer.
-func (s *server) lockFor(o order) {
+func (s *server) lockFor(r *http.Request, o order) {
 	s.mu.Lock()
 	if !s.up || s.incarnation != o.incarnation {
 		s.mu.Unlock()
-		panic(http.ErrAbortHandler)
+		s.w.hang(r)
 	}
 }
 
@@ -247,17 +300,17 @@
 	s.lease = max(s.lease, min(deadline, s.clock()+maxLease.Milliseconds()))
 }
 
-func (s *server) handleStart(w http.ResponseWriter, _ *http.Request, o order) {
-	s.lockFor(o)
+func (s *server) handleStart(w http.ResponseWriter, r *http.Request, o order) {
+	s.lockFor(r, o)
 	s.advance()
 	reason := ""
-	r := s.active[o.Task]
+	run := s.active[o.Task]
 	step, known := s.w.stepOf(o.Task)
 	switch {
-	case r != nil && r.span.attempt == o.Attempt:
+	case run != nil && run.span.attempt == o.Attempt:
 	case o.Deadline <= s.clock():
 		reason = "late"
-	case o.Attempt <= s.newest[o.Task] || r != nil:
+	case o.Attempt <= s.newest[o.Task] || run != nil:
 		reason = "old"
 	case !known || !s.fits(step):
 		reason = "room"
@@ -287,20 +340,20 @@
 	return cpu <= serverCPU
 }
 
-func (s *server) handleStop(w http.ResponseWriter, _ *http.Request, o order) {
+func (s *server) handleStop(w http.ResponseWriter, r *http.Request, o order) {
 	time.Sleep(serverStopTime)
-	s.lockFor(o)
+	s.lockFor(r, o)
 	s.advance()
 	s.newest[o.Task] = max(s.newest[o.Task], o.Attempt)
-	if r := s.active[o.Task]; r != nil && r.span.attempt == o.Attempt {
-		s.end(r, "stopped", time.Now())
+	if run := s.active[o.Task]; run != nil && run.span.attempt == o.Attempt {
+		s.end(run, "stopped", time.Now())
 	}
 	s.mu.Unlock()
 	s.reply(w, http.StatusOK, map[string]any{})
 }
 
 func (s *server) handleHold(w http.ResponseWriter, r *http.Request, o order) {
-	s.lockFor(o)
+	s.lockFor(r, o)
 	s.advance()
 	s.extend(o.Deadline)
 	for len(s.ends) > 0 && s.ends[0].([]any)[0].(int64) <= o.AckCursor {
@@ -318,7 +371,7 @@
 		}
 	}
 	s.dropIfCut(r, o)
-	s.lockFor(o)
+	s.lockFor(r, o)
 	active := []any{}
 	for task, x := range s.active {
 		percent := 100
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,7 +1,7 @@
 // Package soak runs nodes that accept jobs as processes of their own on stand-ins of the platform, under random faults, and checks the recorded history
 // against the users' rules. A seed fixes the plan of faults and the load; the processes' own timing differs between runs.
 //
-// A longer soak: go test ./internal/soak -run TestSoak -timeout 1h -args -soak.seeds=50 -soak.first=100
+// A longer soak: go test ./internal/soak -timeout 1h -args -soak.seeds=50 -soak.first=100
 package soak
 
 import (
@@ -49,19 +49,30 @@
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			soak(t, seed)
+			soak(t, seed, allWeights)
 		})
 	}
 }
 
-func soak(t *testing.T, seed uint64) {
+// TestServerSoak guards against the same while above all servers fail: they restart under their ids with silent connections, and are cut off soon after.
+func TestServerSoak(t *testing.T) {
+	for i := range (*seeds + 1) / 2 {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			soak(t, seed, serverWeights)
+		})
+	}
+}
+
+func soak(t *testing.T, seed uint64, weights []weight) {
 	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 	require.NoError(t, err)
 	w, err := startWorld(dir, *nodeCount, *servers)
 	defer w.close()
 	require.NoError(t, err)
 	l := startLoad(w, seed)
-	w.play(newPlan(seed, *length, *nodeCount, *servers), l)
+	w.play(newPlan(seed, weights, *length, *nodeCount, *servers), l)
 	l.end()
 	w.note("the faults have ended")
 	w.checkEnds(l)
--- a/jobnode/renewals.go
+++ b/jobnode/renewals.go
@@ -121,6 +121,8 @@
 			c.ReportReceived(id, sent, report)
 		case platform.RenewalWrongInstance:
 			c.ServerReplaced(r.Server)
+		case platform.RenewalRestarted:
+			c.ServerRestarted(r.Server, report.BornMS)
 		case platform.RenewalUnanswered, platform.RenewalFenced:
 			c.RenewalUnanswered(id, sent, r.Wait+platform.RenewalTimeout+relay.OrderTimeout)
 		}
--- a/jobs/model.go
+++ b/jobs/model.go
@@ -296,9 +296,10 @@
 	StartSuperseded    // a later run of the task was stopped or has ended there
 	StartLeaseExpired  // the lease had expired when the start arrived
 	StartUnhealthy     // the server did nothing
-	StartWrongInstance // another incarnation of the server responded
+	StartWrongInstance // another server responded
 	StartInvalid
-	StartNoTicket // the ticket that the queue's policy requires is missing or no longer valid
+	StartNoTicket  // the ticket that the queue's policy requires is missing or no longer valid
+	StartRestarted // the server has restarted under its id, and the start wasn't sent
 )
 
 // Order is an order to start one task on one server.
--- a/relay/client.go
+++ b/relay/client.go
@@ -147,4 +147,4 @@
 	return c.direct.Renew(ctx, server, r)
 }
 
-func target(s jobs.Server) Target { return Target{s.ID, s.Address} }
+func target(s jobs.Server) Target { return Target{s.ID, s.Address, s.BornMS} }
--- a/relay/service.go
+++ b/relay/service.go
@@ -33,10 +33,15 @@
 	maxConnections = 1024
 )
 
-// Target identifies a backend server to a relay.
-type Target struct{ ID, Address string }
+// Target identifies an incarnation of a backend server to a relay.
+type Target struct {
+	ID, Address string
+	BornMS      int64 // start of the incarnation, Unix time; 0 if it isn't known
+}
 
-func (t Target) server() jobs.Server { return jobs.Server{ID: t.ID, Address: t.Address} }
+func (t Target) server() jobs.Server {
+	return jobs.Server{ID: t.ID, Address: t.Address, BornMS: t.BornMS}
+}
 
 // StartArgs asks for the start of a task.
 type StartArgs struct {
