Mark jobs that could start now, however many wait before them

Cause: a job starts only after its start mark is stored, and a mark was requested only while fewer than 32 marked jobs waited before it, whatever they waited for. Beyond these, a job is marked now if one of its tasks could start at once; 32 such marks may be underway at a time.

--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,19 +12,25 @@
 )
 
 // TestModelTakeovers guards against the violations of TestModel on a larger fleet, under more kinds of faults: servers that restart under their ids, are
-// lost for good, or are cut off with the dispatcher, which goes on for a while; a store that is down; servers that report four ends at a time; and
-// long-running jobs with random constraints. Once all faults have ended, it also guards against long-running tasks that don't run although there is room.
+// lost for good, or are cut off with the dispatcher, which goes on for a while; a store that is down; servers that report four ends at a time; many jobs
+// without a place, or on a server that crashes repeatedly; and long-running jobs with random constraints. Once all faults have ended, it also guards against long-running tasks that don't run, and
+// jobs that haven't begun, although there is room.
 func TestModelTakeovers(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		m := newModel(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(2, 6).Draw(rt, "servers"))
-		ops := rapid.SliceOfN(rapid.IntRange(0, 24), 10, 40).Draw(rt, "ops")
+		ops := rapid.SliceOfN(rapid.IntRange(0, 28), 10, 40).Draw(rt, "ops")
 		for i, op := range ops {
 			m.injectFault(i, op)
 			m.run(time.Duration(200+m.rng.IntN(1500)) * time.Millisecond)
 		}
 		m.endFaults()
-		m.run(restartTime)
+		m.run(contactTime)
+		m.submitFor("load", lastJob, stepOf(1, 100))
+		m.run(maxIdleTime)
+		m.checkBegun()
+		m.run(restartTime - contactTime - maxIdleTime)
 		m.checkLongRunning()
+		m.checkBegun()
 		m.endLoad()
 		m.run(settleTime)
 		m.checkAllEnded()
@@ -61,7 +68,14 @@
 	})
 }
 
+// lastJob is submitted contactTime after the end of all faults.
+const lastJob = "000000000000ffff"
+
 const (
+	// contactTime is how long after a fault the users' rules hold again, and maxIdleTime how long a job may have nothing running beside idle servers: contact_ms
+	// and 3 s, by the users' pages.
+	contactTime = 3 * time.Second
+	maxIdleTime = 3 * time.Second
 	// restartTime is longer than it may take until a long-running task starts again after the last fault: the silence of its server is resolved after
 	// maxSilenceWait, and a server has to become free.
 	restartTime = 18 * time.Second
@@ -75,6 +89,7 @@
 type model struct {
 	*simulation
 	longRunning []string // ids of the jobs
+	bursts      []string // ids of the jobs of bursts
 	loadRack    string   // empty while there is no load
 	loadJobs    int
 	nextLoad    time.Duration
@@ -215,11 +230,46 @@
 		m.loadRack = m.randomRack()
 	case 24:
 		m.storeDown = !m.storeDown
+	case 25:
+		if !slices.Contains(m.longRunning, unplaceableJob(0)) {
+			step := stepOf(1, 10)
+			step.Label = "none"
+			m.submitUnplaceable(step)
+			for i := range maxMarkedWaiting {
+				m.longRunning = append(m.longRunning, unplaceableJob(i))
+			}
+		}
+	case 26:
+		m.submitBurst(i)
+	case 27, 28:
+		m.restartAtOnce(m.busiestServer())
 	default:
 		m.simulation.injectFault(i, op)
 	}
 }
 
+// submitBurst submits many small jobs at once. Their tasks run long enough for several crashes.
+func (m *model) submitBurst(i int) {
+	step := stepOf(1, 50)
+	step.EstimateMS = 6000
+	for k := range 20 {
+		id := fmt.Sprintf("%016x", 0xbb0000+100*i+k)
+		m.bursts = append(m.bursts, id)
+		m.submitFor("load", id, step)
+	}
+}
+
+// busiestServer returns the server with the most runs.
+func (m *model) busiestServer() *fakeServer {
+	var busiest *fakeServer
+	for _, id := range m.serverIDs() {
+		if s := m.servers[id]; busiest == nil || len(s.runs) > len(busiest.runs) {
+			busiest = s
+		}
+	}
+	return busiest
+}
+
 // checkLongRunning records a violation for each long-running task that doesn't run although two servers have room for it.
 func (m *model) checkLongRunning() {
 	for _, id := range m.longRunning {
@@ -237,6 +287,27 @@
 	}
 }
 
+// checkBegun records a violation for each job of which nothing has run, although two servers have room for a task of its first step, at most half of the
+// processors are in use, and its workspace uses at most half of its limit.
+func (m *model) checkBegun() {
+	var used, capacity jobs.Resources
+	for _, s := range m.servers {
+		used, capacity = used.Add(s.used(m.steps)), capacity.Add(s.info.Capacity)
+	}
+	if used.CPU*2 > capacity.CPU {
+		return
+	}
+	for id, sub := range m.specs {
+		e, step := m.ledger.Jobs[id], sub.Spec.Steps[0]
+		if m.begun[id] || e.Final != nil || e.Cancelled || step.LongRunning {
+			continue
+		}
+		if m.usage(sub.Workspace).CPU*2 <= m.core.limits[sub.Workspace].CPU && m.serversWithRoom(id, step) >= 2 {
+			m.violation("LOST %s hasn't begun", id)
+		}
+	}
+}
+
 // serverOfTask returns the server that runs a task, or nil.
 func (m *model) serverOfTask(task string) *fakeServer {
 	for _, s := range m.servers {
@@ -264,10 +335,10 @@
 	return n
 }
 
-// endLoad ends the load and cancels the long-running jobs.
+// endLoad ends the load and cancels the long-running jobs and those of bursts.
 func (m *model) endLoad() {
 	m.loadRack = ""
-	for _, id := range m.longRunning {
+	for _, id := range append(m.longRunning, m.bursts...) {
 		m.cancel(id)
 	}
 }
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -104,21 +104,21 @@
 		return len(waiting)
 	}
 	slices.SortFunc(waiting, compareCandidates)
-	marked := 0
+	var marks markBudget
 	for _, w := range waiting {
 		if c.awaits(w.job, awaiting) || w.rank.late() && !pool.hasCapacityForLate() {
 			continue
 		}
 		if w.job.startMark != markStored {
-			marked += c.requestMark(w.job, marked)
+			c.requestMark(w.job, pool, &marks)
 			continue
 		}
 		c.placeJob(w.job, pool)
 		if c.hasStartable(w.job) && !c.atLimit(w.job) {
-			marked++
+			marks.waiting++
 		}
 	}
-	return marked
+	return marks.waiting
 }
 
 // placeJob starts the tasks of a job's ready steps as far as there is capacity.
--- a/dispatch/rules_test.go
+++ b/dispatch/rules_test.go
@@ -45,16 +45,22 @@
 	}
 }
 
-func (sim *simulation) checkLimit(o jobs.Order, step jobs.Step) {
-	ws := sim.specs[o.Task.Job].Workspace
-	total := step.Need
+// usage returns what the runs of a workspace need.
+func (sim *simulation) usage(workspace string) jobs.Resources {
+	var total jobs.Resources
 	for _, s := range sim.servers {
 		for task := range s.runs {
-			if id, ok := jobs.ParseTaskID(task); ok && s.up && sim.specs[id.Job].Workspace == ws {
+			if id, ok := jobs.ParseTaskID(task); ok && s.up && sim.specs[id.Job].Workspace == workspace {
 				total = total.Add(sim.steps[task].Need)
 			}
 		}
 	}
+	return total
+}
+
+func (sim *simulation) checkLimit(o jobs.Order, step jobs.Step) {
+	ws := sim.specs[o.Task.Job].Workspace
+	total := sim.usage(ws).Add(step.Need)
 	// The rule allows an excess of a tenth of the limit plus one task.
 	for _, workspace := range sim.config.Workspaces {
 		limit := workspace.Limit
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -69,6 +69,9 @@
 	delete(s.runs, task)
 }
 
+// longTaskMS is the estimate from which on a task runs as long as estimated. Others run for about a second.
+const longTaskMS = 2000
+
 // delayedOrder is an order that its server has received and carries out late.
 type delayedOrder struct {
 	at       time.Duration
@@ -115,6 +118,7 @@
 	onStart          func(s *fakeServer, task string) // if set, called for each start that a server carries out
 	violations       []string
 	starts           int
+	begun            map[string]bool // jobs of which a task has started
 }
 
 const (
@@ -130,7 +134,7 @@
 			Version: 1, Routes: []jobs.Route{{Name: "q", Service: "pool"}}, Services: map[string]jobs.Service{"pool": {Name: "pool"}},
 			Workspaces: []jobs.Workspace{{Name: "w", Limit: jobs.Resources{CPU: 6000}}},
 		},
-		steps: map[string]jobs.Step{}, specs: map[string]jobs.Submission{}, done: map[string]bool{}, failedRuns: map[string]int{}, listedDone: map[string]bool{},
+		steps: map[string]jobs.Step{}, specs: map[string]jobs.Submission{}, done: map[string]bool{}, failedRuns: map[string]int{}, listedDone: map[string]bool{}, begun: map[string]bool{},
 		maxListedEnds: 500,
 	}
 	for i := range servers {
@@ -438,9 +442,13 @@
 	s.extend(sim.now, o.LeaseUntil)
 	sim.checkStart(s, o)
 	sim.starts++
+	sim.begun[o.Task.Job] = true
 	r := &fakeRun{attempt: o.Attempt, endsAt: sim.now + time.Duration(300+sim.rng.IntN(900))*time.Millisecond, how: jobs.EndDone}
-	if sim.steps[task].LongRunning {
+	switch step := sim.steps[task]; {
+	case step.LongRunning:
 		r.endsAt = sim.now + time.Hour
+	case step.EstimateMS > longTaskMS:
+		r.endsAt = sim.now + time.Duration(step.EstimateMS)*time.Millisecond
 	}
 	if s.failing {
 		r.how, r.endsAt = jobs.EndFailed, sim.now+50*time.Millisecond
