Keep most servers free of tasks that may crash them

Cause: runs that were merely beside others in two crashes had to start exclusively, and only servers that were reserved before such a start were bounded, not those on which it ran. Now a task starts exclusively after two likely crashes or three of any kind, and apart from other starts after two. At most a quarter of a pool is reserved or runs such a task.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -30,8 +30,12 @@
 	maxSilenceWait = 10 * time.Second
 	// reservationTimeout is how long a server is kept free for a task that has to start apart from others; most tasks end within a second or two.
 	reservationTimeout = 3 * time.Second
-	// maxReservedShare is the share of a pool's servers that may be kept free for such tasks at a time.
-	maxReservedShare = 0.25
+	// maxIsolatedShare is the share of a pool's servers that may be kept from other work for such tasks at a time; one always may.
+	maxIsolatedShare = 0.25
+	// crashesToIsolate is the number of crashes of any kind after which a task starts exclusively. With the next one it is given up: maxCrashes.
+	crashesToIsolate = maxCrashes - 1
+	// likelyToIsolate is the number of crashes with likely evidence after which it does so. The next one gives the evidence that crashesToGiveUp asks for.
+	likelyToIsolate = crashesToGiveUp - 1
 )
 
 // caution says apart from which runs a task has to be started.
@@ -263,9 +267,9 @@
 // caution returns how a task has to be started.
 func (t *task) caution() caution {
 	switch {
-	case len(t.crashes)+len(t.silentRuns) > 1 || t.countCrashes(ledger.LikelyCause) > 0:
+	case len(t.crashes)+len(t.silentRuns) >= crashesToIsolate || t.countCrashes(ledger.LikelyCause) >= likelyToIsolate:
 		return startExclusive
-	case t.countCrashes(ledger.PossibleCause) > 0:
+	case len(t.crashes)+len(t.silentRuns) > 1 || t.countCrashes(ledger.PossibleCause) > 0:
 		return startApart
 	}
 	return startAnywhere
@@ -279,9 +283,39 @@
 	return !r.survived
 }
 
+// onTrial reports whether a server runs a task that was started apart from others and may still crash it.
+func (c *Core) onTrial(s *server) bool {
+	return s.trial != nil && s.trial.task.run == s.trial && s.trial.mayCauseCrash(s.trial.task.caution(), c.now)
+}
+
+// isolated reports whether a server is kept from other work for seconds, for a task that starts exclusively or has to wait for a server of its own.
+func (c *Core) isolated(s *server) bool {
+	return c.reservation(s) != nil || c.onTrial(s) && s.trial.task.caution() == startExclusive
+}
+
+// mayIsolate reports whether another server of a pool may be kept from other work for a task, or one is reserved for it already. Tasks that don't start
+// exclusively keep a server from other work for some tenths of a second only.
+func (c *Core) mayIsolate(t *task, pool []*server) bool {
+	if t.caution() != startExclusive {
+		return true
+	}
+	n := 0
+	for _, s := range pool {
+		if c.reservation(s) == t {
+			return true
+		}
+		if c.isolated(s) {
+			n++
+		}
+	}
+	return n < maxIsolated(pool)
+}
+
+func maxIsolated(pool []*server) int { return max(1, int(maxIsolatedShare*float64(len(pool)))) }
+
 // acceptsTask reports whether a task may start on a server in view of the crashes that it, or a task there, may cause.
 func (c *Core) acceptsTask(s *server, t *task) bool {
-	if s.trial != nil && s.trial.task.run == s.trial && s.trial.mayCauseCrash(s.trial.task.caution(), c.now) {
+	if c.onTrial(s) {
 		return false
 	}
 	if other := c.reservation(s); other != nil && other != t {
@@ -320,12 +354,13 @@
 		return
 	}
 	var best *server
-	reserved, fewest := 0, 0
+	isolated, fewest := 0, 0
 	for _, s := range pool {
-		if other := c.reservation(s); other == t {
+		if c.reservation(s) == t {
 			return
-		} else if other != nil {
-			reserved++
+		}
+		if c.isolated(s) {
+			isolated++
 			continue
 		}
 		if !c.mayRunOnceIdle(t, s) {
@@ -335,7 +370,7 @@
 			best, fewest = s, n
 		}
 	}
-	if best == nil || reserved > int(maxReservedShare*float64(len(pool))) {
+	if best == nil || isolated >= maxIsolated(pool) {
 		return
 	}
 	best.reservedFor, best.reservedUntil = t, c.now+reservationTimeout
--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -236,6 +236,39 @@
 	assert.Empty(t, sim.violations)
 }
 
+// TestSuspectsLeaveServersForOthers guards against tasks that were lost in two crashes and keep all servers of a pool from other work, one for seconds each
+// (review/8). Those against which there is stronger evidence leave most of the pool to others.
+func TestSuspectsLeaveServersForOthers(t *testing.T) {
+	for evidence, maxIsolated := range map[ledger.CrashEvidence]int{ledger.CrashedBeside: 0, ledger.LikelyCause: 2} {
+		t.Run(evidence.String(), func(t *testing.T) {
+			sim := newSimulation(12, 8)
+			sim.config.Workspaces[0].Limit = jobs.Resources{}
+			sim.core.SetConfiguration(sim.config)
+			sim.run(300 * time.Millisecond)
+			suspects := stepOf(60, 100)
+			suspects.EstimateMS = 6000
+			sim.submit(oldJob, suspects)
+			for _, suspect := range sim.core.jobs[oldJob].occurrences[0].steps[0].tasks {
+				suspect.crashes = []ledger.Crash{{Attempt: 1, Evidence: evidence}, {Attempt: 2, Evidence: evidence}}
+			}
+			sim.run(3 * time.Second)
+			isolated := 0
+			for _, s := range sim.core.servers {
+				if sim.core.isolated(s) {
+					isolated++
+				}
+			}
+			assert.LessOrEqual(t, isolated, maxIsolated)
+			sim.submit(newJob, stepOf(8, 1000))
+			sim.run(400 * time.Millisecond)
+			for _, task := range sim.core.jobs[newJob].occurrences[0].steps[0].tasks {
+				assert.True(t, task.run != nil || task.done, "%s waits", task.id)
+			}
+			assert.Empty(t, sim.violations)
+		})
+	}
+}
+
 // TestPlannedEndsAreNoCrashes guards against giving up tasks whose servers were drained, or had their upkeep, while they ran.
 func TestPlannedEndsAreNoCrashes(t *testing.T) {
 	for name, plan := range map[string]func(sim *simulation, s *fakeServer){
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -146,7 +146,10 @@
 		if !c.startable(t) {
 			continue
 		}
-		i, found := c.chooseServer(t, pool)
+		i, found := -1, false
+		if c.mayIsolate(t, pool.servers) {
+			i, found = c.chooseServer(t, pool)
+		}
 		if !found && t.caution() != startAnywhere {
 			c.reserveServer(t, pool.servers)
 			continue
@@ -168,7 +171,7 @@
 // placeGang starts all tasks of a gang at once, or none.
 func (c *Core) placeGang(s *step, pool *serverPool) {
 	for _, t := range s.tasks {
-		if !c.startable(t) {
+		if !c.startable(t) || !c.mayIsolate(t, pool.servers) {
 			return
 		}
 	}
