Count a job as begun only once a server has confirmed a start

A job counted as begun from the decision to start a task of it. It does so from the first confirmed start, or the first run or end that a server lists.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -126,8 +126,8 @@
 	sub             *jobs.Submission
 	offset          int64 // of the submission's record
 	submittedAt     time.Duration
-	started         bool
-	firstStart      time.Duration // 0 if a predecessor started it
+	started         bool          // a task of it has run
+	firstStart      time.Duration // when a start was first decided; 0 if a predecessor did
 	lateAtStart     bool          // it could no longer be on time when its first task started
 	slackAtStart    time.Duration // its slack when its first task started
 	failedRuns      int
--- a/dispatch/ranking.go
+++ b/dispatch/ranking.go
@@ -98,14 +98,15 @@
 		w.slack = min(w.slack, c.dueAt(o)+within-c.now-remaining)
 		useful = useful && c.now+remaining <= c.dueAt(o)+maxUsefulFactor*within
 	}
+	started := j.started || j.runCount > 0
 	switch {
 	case !useful:
 		w.rank = rankTooLate
-	case w.slack < 0 && j.started:
+	case w.slack < 0 && started:
 		w.rank = rankLateStarted
 	case w.slack < 0:
 		w.rank = rankLate
-	case j.started:
+	case started:
 		w.rank, w.sortKey = rankStarted, w.slack
 	case w.slack < margin:
 		w.rank = rankLate
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -32,11 +32,10 @@
 		c.markDirty(t.step.occurrence.job)
 	}
 	j := t.step.occurrence.job
-	if !j.started {
+	if !j.started && j.firstStart == 0 {
 		w := c.candidate(j)
 		j.lateAtStart, j.slackAtStart = w.rank.late(), w.slack
-		j.started, j.firstStart = true, c.now
-		c.markDirty(j)
+		j.firstStart = c.now
 	}
 	ticket, _ := c.ticketFor(t.step, s) // chooseServer has checked that the ticket exists if one is needed
 	c.orders = append(c.orders, Order{Server: s.target(), Start: &jobs.Order{
@@ -44,6 +43,14 @@
 	}})
 }
 
+// markStarted records that a task of a job has certainly run: until then the job is pending.
+func (c *Core) markStarted(j *job) {
+	if !j.started {
+		j.started = true
+		c.markDirty(j)
+	}
+}
+
 // addRun adds a run to the usage of its server and its workspace.
 func (c *Core) addRun(r *run) {
 	t, s := r.task, r.server
@@ -112,6 +119,9 @@
 	if result != jobs.StartUnknown && result != jobs.StartRestarted {
 		r.server.heardAt = c.now
 	}
+	if result == jobs.Started {
+		c.markStarted(r.task.step.occurrence.job)
+	}
 	if r.state != runStarting {
 		if result == jobs.Started && r.confirmedAt == 0 {
 			r.confirmedAt = c.now
@@ -171,6 +181,7 @@
 		c.adopt(s, a)
 		return
 	}
+	c.markStarted(r.task.step.occurrence.job)
 	if a.Percent > r.percent || r.activeAt == 0 {
 		r.percent, r.progressAt, r.progressClockMS = a.Percent, c.now, s.clockMS
 	}
@@ -215,7 +226,7 @@
 	if t != nil && t.run == nil && !t.done && !t.step.occurrence.job.cancelled && !t.step.occurrence.job.failed && a.Attempt/attemptsPerEpoch < c.params.Epoch {
 		r := &run{task: t, server: s, attempt: a.Attempt, state: runActive, sentAt: c.now, confirmedAt: c.now, activeAt: c.now, progressAt: c.now, percent: a.Percent, pace: 100, survived: true}
 		c.addRun(r)
-		t.step.occurrence.job.started = true
+		c.markStarted(t.step.occurrence.job)
 		if a.Checkpoint != "" {
 			t.checkpoint = a.Checkpoint
 		}
@@ -258,6 +269,7 @@
 		return
 	}
 	j := t.step.occurrence.job
+	c.markStarted(j)
 	if e.Checkpoint != "" && e.How != jobs.EndDone {
 		t.checkpoint = e.Checkpoint
 	}
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -38,6 +38,7 @@
 	endedAt     map[int64]time.Duration // by the number of the end
 	reported    int64                   // number of the newest end that was reported
 	failing     bool
+	refusing    bool // it refuses all starts
 	stalled     bool // its tasks make no progress
 	behindCut   bool // the cut-off predecessor reaches it
 	// listedFrom is when the present incarnation writes its first entry into the server list.
@@ -431,6 +432,8 @@
 func (sim *simulation) executeStart(s *fakeServer, o jobs.Order) jobs.StartResult {
 	task := o.Task.String()
 	switch {
+	case s.refusing:
+		return jobs.StartUnhealthy
 	case s.lastAttempt[task] >= o.Attempt:
 		return jobs.StartSuperseded
 	case o.LeaseUntil <= s.clock(sim.now):
--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -4,7 +4,10 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"example.org/comfreyrouter/jobs"
 )
 
 // TestWaitingTasksAreCounted guards against tasks that never start because their step seems to have none that waits, after failures, lost servers and
@@ -39,3 +42,17 @@
 		}
 	}
 }
+
+// TestRefusedStartsLeaveAJobPending guards against a job that counts as begun, so that its queue doesn't list it as pending, although all of its starts were
+// refused (review/10).
+func TestRefusedStartsLeaveAJobPending(t *testing.T) {
+	sim := newSimulation(91, 1)
+	sim.servers["s0"].refusing = true
+	sim.submit(oldJob, stepOf(1, 1000))
+	sim.run(time.Second)
+	require.NotZero(t, sim.core.jobs[oldJob].firstStart, "a start was decided")
+	assert.Equal(t, jobs.Queued, sim.phase(oldJob))
+	sim.servers["s0"].refusing = false
+	sim.run(settleTime)
+	assert.Equal(t, jobs.Complete, sim.phase(oldJob))
+}
