Don't end serving tasks because servers have crashed under another one

A long-running job isn't given up for crashes now. From the third crash on its task starts again after 5 s, and after twice as long with each crash that follows, up to a minute.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -99,6 +99,7 @@
 	startCount     int64         // number of starts by this dispatcher
 	crashes        []ledger.Crash
 	crashUnstored  bool               // the last crash isn't stored yet
+	crashDelay     time.Duration      // the last delay before a start because servers had crashed; only of a long-running task
 	silentRuns     []ledger.SilentRun // on servers that have fallen silent
 }
 
--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -24,6 +24,10 @@
 	// maxCrashes is the number of crashed servers with which a task is given up in any case. The platform allows two starts after the third crash, and
 	// crashes that nobody saw during a change of dispatcher may come on top.
 	maxCrashes = 4
+	// minCrashDelay and maxCrashDelay bound the delay before a long-running task starts again, which doubles with each crash from crashesToGiveUp on. The
+	// first is the age at which a run is cleared, the second keeps the crashes of a task rare among those that a fleet has anyway.
+	minCrashDelay = maxCauseAge
+	maxCrashDelay = time.Minute
 	// silenceRetention is how long the runs of a silent server are remembered. A crashed server is back after some seconds.
 	silenceRetention = time.Minute
 	// maxSilenceWait is how long a task may have to wait until it is known whether a silent server has crashed.
@@ -218,6 +222,10 @@
 	j := t.step.occurrence.job
 	j.crashes++
 	c.markDirty(j)
+	if t.step.spec.LongRunning {
+		c.delayRestart(t)
+		return
+	}
 	if t.crashesServers() && !j.failed {
 		c.count("task_given_up")
 		j.failed = true
@@ -226,11 +234,23 @@
 	}
 }
 
+// delayRestart delays the next start of a long-running task under which servers have crashed repeatedly. The task isn't given up: that would end the tasks of
+// its job that are serving.
+func (c *Core) delayRestart(t *task) {
+	if n := len(t.crashes); n > maxCrashes {
+		t.crashes = slices.Clone(t.crashes[n-maxCrashes:])
+	}
+	if len(t.crashes) >= crashesToGiveUp {
+		t.crashDelay = min(max(2*t.crashDelay, minCrashDelay), maxCrashDelay)
+		t.notBefore = max(t.notBefore, c.now+t.crashDelay)
+	}
+}
+
 // crashesServers reports whether a task is given up because servers have crashed under it.
 func (t *task) crashesServers() bool {
 	n, likely, only := len(t.crashes), t.countCrashes(ledger.LikelyCause), t.countCrashes(ledger.OnlyCause)
-	if t.step.spec.LongRunning && n < crashesToGiveUp {
-		return false // giving it up also ends the tasks of its job that are serving, and two servers may end in its first seconds by chance
+	if t.step.spec.LongRunning {
+		return false
 	}
 	return n >= maxCrashes || only > 1 || n >= crashesToGiveUp && likely > 1 && only > 0
 }
@@ -261,7 +281,7 @@
 // clearLongRunning forgets the crashes of a long-running task that has outlived the age at which it may cause one.
 func (c *Core) clearLongRunning(r *run) {
 	if t := r.task; len(t.crashes) > 0 && t.step.spec.LongRunning && c.now-r.sentAt > maxCauseAge {
-		t.crashes = nil
+		t.crashes, t.crashDelay = nil, 0
 		c.markDirty(t.step.occurrence.job)
 	}
 }
