Answer operators' queries from the dispatcher's state

What operators could see of the jobs was logs and counters; there was no way to ask the process that decides. A node with operator_address now answers queries at /v1/jobs/NAME: the dispatcher from its state, other nodes by asking it over their connection. The check of the operators' token moves to a function that both interfaces use.

--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -50,6 +50,7 @@
 	Unauthorized      Kind = "unauthorized"
 	LogUnavailable    Kind = "log_unavailable"
 	Fenced            Kind = "fenced"
+	NoDispatcher      Kind = "no_dispatcher"
 	Internal          Kind = "internal"
 )
 
@@ -108,6 +109,7 @@
 	Unauthorized:      {http.StatusUnauthorized, "", false, "the operators' token is missing or wrong"},
 	LogUnavailable:    {http.StatusServiceUnavailable, "", true, "the platform's log did not confirm the change; the same call may be repeated"},
 	Fenced:            {http.StatusServiceUnavailable, Unknown, true, "this entry VM was fenced and must join again"},
+	NoDispatcher:      {http.StatusServiceUnavailable, "", true, "no node in reach dispatches jobs, or the one that does can't be sure of its role"},
 	Internal:          {http.StatusInternalServerError, Unknown, false, "an unexpected error"},
 }
 
--- a/jobnode/fleet_test.go
+++ b/jobnode/fleet_test.go
@@ -28,6 +28,9 @@
 	testHost = "shop.example"
 	testKey  = "key-1"
 	jobID    = "00000000000000aa"
+	// testToken is the operators' token.
+	testToken       = "token"
+	testTokenSHA256 = "3c469e9d6c5875d37a43f353d4f88e61fcf812c66eee3457465a40b0da4153e0"
 	// waitTimeout bounds the wait for something that takes a second or two; a busy machine needs more.
 	waitTimeout  = 30 * time.Second
 	pollInterval = 20 * time.Millisecond
@@ -99,6 +102,7 @@
 // testNode is a running node.
 type testNode struct {
 	callers, ready string
+	operators      netip.AddrPort // answers operators' queries
 	stop           context.CancelFunc
 	done           chan error
 }
@@ -110,8 +114,9 @@
 	if f.relayed {
 		s.DirectServers, s.DirectNodes, s.PeerAddress = 0, 0, f.freeAddress()
 	}
+	s.OperatorAddress, s.OperatorTokenSHA256 = f.freeAddress(), testTokenSHA256
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &testNode{stop: cancel, done: make(chan error, 1)}
+	n := &testNode{operators: s.OperatorAddress, stop: cancel, done: make(chan error, 1)}
 	listening := make(chan struct{})
 	go func() {
 		n.done <- Run(ctx, Options{Settings: s, Logger: zerolog.New(zerolog.NewTestWriter(f.t)), OnListening: func(callers, ready string) {
--- a/jobnode/node.go
+++ b/jobnode/node.go
@@ -29,6 +29,7 @@
 	serviceCallers   = "callers"
 	serviceRelay     = "relay"
 	serviceReady     = "ready"
+	serviceQueries   = "operators' queries"
 )
 
 const (
@@ -98,8 +99,14 @@
 			return err
 		}
 	}
+	var queries net.Listener
+	if s.OperatorAddress.IsValid() {
+		if queries, err = net.Listen("tcp", s.OperatorAddress.String()); err != nil {
+			return err
+		}
+	}
 	serve := n.untilDrained(ctx)
-	k, err := n.kernel(serve, callers, ready, peers)
+	k, err := n.kernel(serve, listeners{callers, ready, peers, queries})
 	if err != nil {
 		return err
 	}
@@ -118,8 +125,11 @@
 // Run calls the function.
 func (r runner) Run(ctx context.Context) error { return r(ctx) }
 
+// listeners are the listeners of a node. Those for peers and for operators' queries may be nil.
+type listeners struct{ callers, ready, peers, queries net.Listener }
+
 // kernel registers the node's services. On a planned stop the listeners end first, so that the services that they need still work.
-func (n *Node) kernel(serve context.Context, callers, ready, peers net.Listener) (*kernel.Kernel, error) {
+func (n *Node) kernel(serve context.Context, l listeners) (*kernel.Kernel, error) {
 	k := kernel.New()
 	elect := &elector{node: n.settings.Name, operators: n.operators, incarnation: n.incarnation, store: n.store, follower: n.follower, presence: n.presence, log: n.log, run: n.runDispatcher}
 	for _, s := range []struct {
@@ -131,10 +141,11 @@
 		{serviceFollower, nil, n.follower.Run},
 		{serviceWriter, nil, n.writer.Run},
 		{serviceCallers, []string{serviceOperators, serviceFollower, serviceWriter}, func(context.Context) error {
-			return httpserve.Serve(serve, callers, n.handler(), max(n.settings.Bounds.Grace-stopDelay-stopMargin, time.Second))
+			return httpserve.Serve(serve, l.callers, n.handler(), max(n.settings.Bounds.Grace-stopDelay-stopMargin, time.Second))
 		}},
-		{serviceReady, nil, func(ctx context.Context) error { return httpserve.Serve(ctx, ready, n.readyHandler(), time.Second) }},
-		{serviceRelay, nil, func(ctx context.Context) error { return n.serveRelay(ctx, peers) }},
+		{serviceReady, nil, func(ctx context.Context) error { return httpserve.Serve(ctx, l.ready, n.readyHandler(), time.Second) }},
+		{serviceRelay, nil, func(ctx context.Context) error { return n.serveRelay(ctx, l.peers) }},
+		{serviceQueries, []string{serviceFollower}, func(ctx context.Context) error { return n.serveQueries(ctx, l.queries) }},
 		{servicePresence, []string{serviceFollower}, n.presence.Run},
 		{serviceElector, []string{serviceCallers, serviceReady, servicePresence}, elect.Run},
 	} {
--- a/jobnode/settings.go
+++ b/jobnode/settings.go
@@ -9,25 +9,29 @@
 
 	"example.org/comfreyrouter/errkind"
 	"example.org/comfreyrouter/internal/strictyaml"
+	"example.org/comfreyrouter/operatorapi"
 )
 
 // Settings are the settings of a node that accepts jobs. deploy/settings.yaml.tmpl renders them on the users' platform.
 type Settings struct {
-	Name             string         `yaml:"name"`
-	DataCentre       string         `yaml:"data_centre"`
-	CallerAddress    netip.AddrPort `yaml:"caller_address"`   // where the node listens for callers
-	ReadyAddress     netip.AddrPort `yaml:"ready_address"`    // serves readiness and metrics
-	PeerAddress      netip.AddrPort `yaml:"peer_address"`     // where the node listens for other nodes; optional, without it the node relays no orders
-	StoreAddress     netip.AddrPort `yaml:"store_address"`    // the platform's store
-	MachinesAddress  netip.AddrPort `yaml:"machines_address"` // the platform's machine list; optional
-	PolicyAddress    netip.AddrPort `yaml:"policy_address"`   // the service of the queues' policies; optional
-	MachineOrderRate float64        `yaml:"machine_orders"`   // machine orders per second that the platform accepts
-	Cores            float64        `yaml:"cores"`            // processors that this node may use; a stronger node claims the dispatcher role sooner
-	MemoryMB         int            `yaml:"memory_mb"`        // memory that this node may use; optional
-	LogLevel         string         `yaml:"log_level"`        // debug, info, warn or error
-	DirectServers    int            `yaml:"direct_servers"`   // up to this many backend servers, the dispatcher calls all of them directly
-	DirectNodes      int            `yaml:"direct_nodes"`     // up to this many nodes, each appends the records of its calls itself
-	Bounds           Bounds         `yaml:"bounds"`
+	Name            string         `yaml:"name"`
+	DataCentre      string         `yaml:"data_centre"`
+	CallerAddress   netip.AddrPort `yaml:"caller_address"`   // where the node listens for callers
+	ReadyAddress    netip.AddrPort `yaml:"ready_address"`    // serves readiness and metrics
+	PeerAddress     netip.AddrPort `yaml:"peer_address"`     // where the node listens for other nodes; optional, without it the node relays no orders
+	OperatorAddress netip.AddrPort `yaml:"operator_address"` // where the node answers operators' queries; optional
+	// OperatorTokenSHA256 is the SHA-256 of the operators' token in hexadecimal. If it is empty, queries need no token.
+	OperatorTokenSHA256 string         `yaml:"operator_token_sha256"`
+	StoreAddress        netip.AddrPort `yaml:"store_address"`    // the platform's store
+	MachinesAddress     netip.AddrPort `yaml:"machines_address"` // the platform's machine list; optional
+	PolicyAddress       netip.AddrPort `yaml:"policy_address"`   // the service of the queues' policies; optional
+	MachineOrderRate    float64        `yaml:"machine_orders"`   // machine orders per second that the platform accepts
+	Cores               float64        `yaml:"cores"`            // processors that this node may use; a stronger node claims the dispatcher role sooner
+	MemoryMB            int            `yaml:"memory_mb"`        // memory that this node may use; optional
+	LogLevel            string         `yaml:"log_level"`        // debug, info, warn or error
+	DirectServers       int            `yaml:"direct_servers"`   // up to this many backend servers, the dispatcher calls all of them directly
+	DirectNodes         int            `yaml:"direct_nodes"`     // up to this many nodes, each appends the records of its calls itself
+	Bounds              Bounds         `yaml:"bounds"`
 }
 
 // Bounds are the durations that the fleet's operators and the platform have agreed on.
@@ -84,6 +88,9 @@
 			add(field, "must not be below 0")
 		}
 	}
+	if !operatorapi.ValidTokenHash(s.OperatorTokenSHA256) {
+		add("operator_token_sha256", "must be a SHA-256 in hexadecimal")
+	}
 	if s.MachineOrderRate <= 0 {
 		add("machine_orders", "must be above 0")
 	}
--- a/operatorapi/server.go
+++ b/operatorapi/server.go
@@ -3,9 +3,6 @@
 package operatorapi
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"io"
@@ -108,25 +105,17 @@
 	v1.POST("/apply", s.apply)
 }
 
-// authenticate checks the bearer token. The hashes are compared in constant time, and the token itself is not stored.
 func (s *Server) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
-	want := []byte(strings.ToLower(s.options.TokenSHA256))
 	return func(c echo.Context) error {
-		if len(want) == 0 {
-			return next(c)
-		}
-		token, _ := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
-		sum := sha256.Sum256([]byte(token))
-		got := []byte(hex.EncodeToString(sum[:]))
-		if subtle.ConstantTimeCompare(got, want) != 1 {
-			return errkind.New(errkind.Unauthorized, "%s", errkind.Lookup(errkind.Unauthorized).Text)
+		if err := CheckToken(c.Request(), s.options.TokenSHA256); err != nil {
+			return err
 		}
 		return next(c)
 	}
 }
 
 func (s *Server) answerError(err error, c echo.Context) {
-	f := failureOf(err)
+	f := FailureOf(err)
 	s.options.OnRefused(f.Kind)
 	events.Log(s.options.Logger, events.OperatorRefused, f.Kind, f.Message)
 	if c.Response().Committed {
@@ -136,7 +125,8 @@
 	_ = c.JSON(errkind.Lookup(f.Kind).Status, f)
 }
 
-func failureOf(err error) *Failure {
+// FailureOf returns the failure that is sent to an operator for an error.
+func FailureOf(err error) *Failure {
 	var f *Failure
 	if errors.As(err, &f) {
 		return f
