Keep tasks apart that slow each other down

The dispatcher samples run times and latencies from the reports, and a pair of images in force adds to the cost of a server. It rules no server out.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"example.org/comfreyrouter/interference"
 	"example.org/comfreyrouter/jobs"
 	"example.org/comfreyrouter/ledger"
 )
@@ -22,6 +23,8 @@
 	PredecessorsUntil time.Duration
 	// EarlyStart is how long before its scheduled time an occurrence may start.
 	EarlyStart time.Duration
+	// Interference says what is done about tasks that slow each other down.
+	Interference InterferenceMode
 }
 
 const (
@@ -87,6 +90,8 @@
 	survived        bool          // it was reported long enough after its start, so it didn't crash the server by starting
 	pace            int           // ordered percentage of its full speed; -1 if the order has to be sent again
 	latencyMS       float64       // tail latency in the last report, for a task that serves requests
+	sampledAt       time.Duration // when its latency was last sampled
+	beside          *besideRun    // nil until a report has listed it, and for a long-running task
 }
 
 // task is one task of an occurrence.
@@ -186,47 +191,52 @@
 	trial               *run           // the last run that was started apart from others
 	reservedFor         *task          // a task that has to start there apart from others
 	reservedUntil       time.Duration
-	idleSince           time.Duration // when a run on it last ended, or when it became known
-	fillerPace          int           // percentage of their full speed at which filler tasks run
-	paceChangedAt       time.Duration // when fillerPace last changed
+	idleSince           time.Duration  // when a run on it last ended, or when it became known
+	fillerPace          int            // percentage of their full speed at which filler tasks run
+	paceChangedAt       time.Duration  // when fillerPace last changed
+	warmAt              time.Duration  // from then on its tasks are sampled for interference
+	images              map[string]int // number of its runs by image, if interference is estimated
 }
 
 // Core is the state of a dispatcher. It isn't safe for concurrent use.
 type Core struct {
-	params             Params
-	config             *jobs.Configuration
-	servers            map[string]*server
-	byMachine          map[string][]*server
-	jobs               map[string]*job
-	routes             map[string]*jobs.Route    // by name
-	policies           bool                      // at least one queue has a policy
-	usage              map[string]jobs.Resources // needs of all current runs, by workspace
-	awaited            map[string]awaitedServers // by service, as of the last pass
-	unreportedUsage    map[string]jobs.Resources // needs of tasks that may run on awaited servers, by workspace with a limit, as of the last pass
-	limits             map[string]jobs.Resources // by workspace
-	arrivals           map[string]*arrivals      // by service
-	weights            map[string]float64        // share of each workspace, in jobs per second
-	shares             map[string]*shareBucket
-	serverListComplete bool            // the platform's server list has been read completely
-	upkeepDue          map[string]bool // servers whose machines are due for upkeep
-	unstoredJobs       map[string]*job // jobs whose progress has to be stored
-	unstoredCrashes    []*task
-	silent             map[string]silentServer       // by server
-	unansweredStarts   map[string][]*unansweredStart // by server
-	removedServers     map[string]removedServer
-	orders             []Order
-	records            []ledger.Record
-	endedJobs          map[string]bool         // jobs whose final state has been queued for storing
-	runtimes           map[string]*runtimeMean // by queue
-	admission          admission
-	markedWaiting      map[string]int // number of waiting jobs that are marked or being marked, by service, after the last pass
-	typicalCapacity    jobs.Resources // capacity of a schedulable server at the last measurement
-	now                time.Duration
-	wallMS             int64
-	soleDispatcher     bool
-	eventCounts        map[string]int // number of events since the last TakeEventCounts, by name
-	problems           []ServerProblem
-	summaries          []JobSummary
+	params              Params
+	config              *jobs.Configuration
+	servers             map[string]*server
+	byMachine           map[string][]*server
+	jobs                map[string]*job
+	routes              map[string]*jobs.Route    // by name
+	policies            bool                      // at least one queue has a policy
+	usage               map[string]jobs.Resources // needs of all current runs, by workspace
+	awaited             map[string]awaitedServers // by service, as of the last pass
+	unreportedUsage     map[string]jobs.Resources // needs of tasks that may run on awaited servers, by workspace with a limit, as of the last pass
+	limits              map[string]jobs.Resources // by workspace
+	arrivals            map[string]*arrivals      // by service
+	weights             map[string]float64        // share of each workspace, in jobs per second
+	shares              map[string]*shareBucket
+	serverListComplete  bool            // the platform's server list has been read completely
+	upkeepDue           map[string]bool // servers whose machines are due for upkeep
+	unstoredJobs        map[string]*job // jobs whose progress has to be stored
+	unstoredCrashes     []*task
+	silent              map[string]silentServer       // by server
+	unansweredStarts    map[string][]*unansweredStart // by server
+	removedServers      map[string]removedServer
+	orders              []Order
+	records             []ledger.Record
+	endedJobs           map[string]bool         // jobs whose final state has been queued for storing
+	runtimes            map[string]*runtimeMean // by queue
+	admission           admission
+	markedWaiting       map[string]int // number of waiting jobs that are marked or being marked, by service, after the last pass
+	typicalCapacity     jobs.Resources // capacity of a schedulable server at the last measurement
+	now                 time.Duration
+	wallMS              int64
+	soleDispatcher      bool
+	eventCounts         map[string]int // number of events since the last TakeEventCounts, by name
+	problems            []ServerProblem
+	estimator           *interference.Estimator // nil if interference is ignored
+	interferenceChanged bool                    // since the last TakeInterferenceChange
+	avoidInterference   bool
+	summaries           []JobSummary
 }
 
 // ServerProblem describes a problem of a server that operators find in the log: its runs were abandoned, or it gets no work for a while.
@@ -278,6 +288,10 @@
 		admission: admission{admitted: map[string]admittedJob{}, rejections: map[string]rejection{}, acceptedAt: map[string]time.Duration{}, startedAt: now},
 		now:       now, wallMS: wallMS,
 	}
+	if p.Interference != InterferenceIgnored {
+		c.estimator = interference.New()
+	}
+	c.avoidInterference = p.Interference == InterferenceAvoided
 	c.SetConfiguration(config)
 	for id, s := range l.Servers {
 		srv := c.newServer(jobs.Server{ID: id, Service: s.Service, Address: s.Address, BornMS: s.BornMS, Machine: s.Machine})
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -355,7 +355,7 @@
 	if t.step.spec.LongRunning || t.step.spec.Fills {
 		cost += colocationCost(t, s)
 	}
-	return cost
+	return cost + c.slowdownCost(t, s)
 }
 
 // colocationCost returns the cost of running a long-running or filler task beside the current runs of a server.
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -60,6 +60,7 @@
 	t.run = r
 	s.runs[t.id.String()] = r
 	s.used = s.used.Add(t.step.spec.Allocation())
+	c.countImage(s, t.step.spec, 1)
 	j := t.step.occurrence.job
 	j.runCount++
 	c.usage[j.sub.Workspace] = c.usage[j.sub.Workspace].Add(t.step.spec.Need)
@@ -75,6 +76,7 @@
 	delete(s.runs, key)
 	s.idleSince = c.now
 	s.used = s.used.Sub(t.step.spec.Allocation())
+	c.countImage(s, t.step.spec, -1)
 	j := t.step.occurrence.job
 	j.runCount--
 	c.usage[j.sub.Workspace] = c.usage[j.sub.Workspace].Sub(t.step.spec.Need)
@@ -308,6 +310,7 @@
 	o := t.step.occurrence
 	if r != nil && r.activeAt > 0 {
 		c.recordRuntime(t, c.now-r.activeAt)
+		c.sampleEnded(r)
 	}
 	if t.run != nil && t.run != r {
 		c.stop(t.run)
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -319,6 +319,7 @@
 	if r.BornMS != 0 {
 		s.bornMS = r.BornMS
 	}
+	previous := s.recvAt
 	s.clockMS, s.sentAt, s.recvAt, s.heardAt, s.unresponsive = r.ClockMS, sent, c.now, c.now, false
 	c.forgetSilence(id) // it was only cut off
 	c.count("report")
@@ -339,6 +340,7 @@
 	c.dropUnlisted(s, listed, sent, r.MoreEnds)
 	c.stopFormerStarts(s)
 	s.reconciled = s.reconciled || !r.MoreEnds
+	c.observeInterference(s, previous)
 	c.controlPace(s)
 }
 
