Let operators switch and see the estimate of interference

The setting interference is off by default; observe estimates, avoid places by it. Event 7030, a gauge and comfreyctl interference name the pairs in force.

--- a/ctl/jobs.go
+++ b/ctl/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"example.org/comfreyrouter/interference"
 	"example.org/comfreyrouter/operatorapi"
 )
 
@@ -23,3 +24,14 @@
 	}
 	return s.print(d, []string{"FIELD", "VALUE"}, rows)
 }
+
+// interferenceList lists the pairs of images whose tasks slow each other down.
+func interferenceList(s *session, _ []string) error {
+	var pairs []interference.Pair
+	if err := s.get(path("jobs", "interference"), &pairs); err != nil {
+		return err
+	}
+	return s.print(pairs, []string{"IMAGE", "BESIDE", "FACTOR", "SAMPLES"}, rowsOf(pairs, func(p interference.Pair) []string {
+		return cells(p.Image, p.Beside, fmt.Sprintf("%.2f", p.Factor), p.Samples)
+	}))
+}
--- a/events/events.go
+++ b/events/events.go
@@ -47,6 +47,7 @@
 	RelayFailed          = Event{7017, zerolog.WarnLevel, "a relay node doesn't respond; other nodes take over its servers", []string{"relay", "error"}, "nothing; if it repeats, check that node"}
 	CallPanicked         = Event{7018, zerolog.ErrorLevel, "a call panicked; the process continues", []string{"method", "error", "stack"}, "report it with the stack"}
 	ServiceLoad          = Event{7019, zerolog.InfoLevel, "load of a service", []string{"service", "servers", "free_servers", "arriving_servers", "backlog_server_s", "late_backlog_server_s"}, "if a backlog stays above two seconds of the servers, the pool is too small"}
+	InterferenceChanged  = Event{7030, zerolog.InfoLevel, "pairs of images whose tasks slow each other down have changed", []string{"pairs"}, "nothing; comfreyctl interference lists them"}
 	ProcessorUse         = Event{7020, zerolog.InfoLevel, "processor time of the dispatcher's process since the last line", []string{"interval_ms", "process_ms", "gc_ms", "passes", "pass_ms", "longest_pass_ms"}, "if process_ms comes near interval_ms times the processors of the VM, see docs/OPERATIONS.md"}
 	UpkeepOrdered        = Event{7102, zerolog.InfoLevel, "upkeep of a machine ordered", []string{"machine", "server", "wave", "answer"}, "nothing"}
 	MoveOrdered          = Event{7103, zerolog.InfoLevel, "move of a machine ordered", []string{"machine", "server", "from", "to", "answer"}, "nothing"}
@@ -85,7 +86,7 @@
 		DrainStarted, DrainEmpty, DrainDone, DrainAbandoned,
 		MoveStarted, MoveDone,
 		DispatcherClaimed, DispatcherStarted, DispatcherStopped, DispatcherFenced, OrderFenced, StartRefused, ServerProblem, DispatchState, DispatcherHandedOver, JobStored, CallRefused, JobEnded,
-		DependencyLost, DependencyBack, EntryUnreadable, RelayFailed, CallPanicked, ServiceLoad, ProcessorUse,
+		DependencyLost, DependencyBack, EntryUnreadable, RelayFailed, CallPanicked, ServiceLoad, ProcessorUse, InterferenceChanged,
 		UpkeepOrdered, MoveOrdered, WaveComplete,
 	}
 }
--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -118,6 +118,7 @@
 	d.predecessors = newPredecessors(d.role.Predecessors, d.claimedAt)
 	d.core = dispatch.New(dispatch.Params{
 		Epoch: d.role.Epoch, Lease: min(runLease, bounds.MaxLease), MaxLease: bounds.MaxLease, PredecessorsUntil: d.predecessors.ordersUntil(d.follower), EarlyStart: bounds.EarlyStart,
+		Interference: interferenceModes[d.node.settings.Interference],
 	}, d.follower.ledger, config, boottime.Now(), time.Now().UnixMilli())
 	d.follower.changes = nil
 	events.Log(d.log, events.DispatcherStarted, d.role.Epoch, len(d.follower.ledger.Jobs))
@@ -312,6 +313,7 @@
 		var n dispatch.Counts
 		var loads map[string]loadshed.ServiceLoad
 		d.update(func(c *dispatch.Core) { n, loads = c.Counts(), c.ServiceLoads() })
+		d.reportInterference()
 		counts := d.flushEventCounts()
 		events.Log(d.log, events.DispatchState, n.LongRunning, n.Started, n.OnTime, n.OverShare, n.Late, n.Runs, n.Servers, counts)
 		for _, name := range slices.Sorted(maps.Keys(loads)) {
--- a/jobnode/metrics.go
+++ b/jobnode/metrics.go
@@ -13,6 +13,7 @@
 	accepted       prometheus.Counter
 	refused        *prometheus.CounterVec
 	dispatchEvents *prometheus.CounterVec
+	interference   *prometheus.GaugeVec
 }
 
 func newMetrics() *nodeMetrics {
@@ -25,8 +26,11 @@
 		dispatchEvents: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "comfreyrouter_dispatch_events_total", Help: "Events and decisions of this node's dispatcher, by event.",
 		}, []string{"event"}),
+		interference: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "comfreyrouter_interference_factor", Help: "Factor by which one task of the image beside slows down tasks of an image, while this node dispatches.",
+		}, []string{"image", "beside"}),
 	}
-	m.registry.MustRegister(m.accepted, m.refused, m.dispatchEvents)
+	m.registry.MustRegister(m.accepted, m.refused, m.dispatchEvents, m.interference)
 	return m
 }
 
--- a/jobnode/queries.go
+++ b/jobnode/queries.go
@@ -30,7 +30,8 @@
 // operatorQueries are the queries of operators, by name. The dispatcher answers them from its state without changing it. The arguments are the body of the
 // call; the answer is sent as JSON.
 var operatorQueries = map[string]func(d *dispatcher, args []byte) (any, error){
-	"dispatcher": (*dispatcher).status,
+	"dispatcher":   (*dispatcher).status,
+	"interference": (*dispatcher).interference,
 }
 
 // QueryArgs holds a query of an operator.
--- a/jobnode/settings.go
+++ b/jobnode/settings.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"example.org/comfreyrouter/dispatch"
 	"example.org/comfreyrouter/errkind"
 	"example.org/comfreyrouter/internal/strictyaml"
 	"example.org/comfreyrouter/operatorapi"
@@ -31,7 +32,9 @@
 	LogLevel            string         `yaml:"log_level"`        // debug, info, warn or error
 	DirectServers       int            `yaml:"direct_servers"`   // up to this many backend servers, the dispatcher calls all of them directly
 	DirectNodes         int            `yaml:"direct_nodes"`     // up to this many nodes, each appends the records of its calls itself
-	Bounds              Bounds         `yaml:"bounds"`
+	// Interference says what is done about tasks that slow each other down: off, observe or avoid.
+	Interference string `yaml:"interference"`
+	Bounds       Bounds `yaml:"bounds"`
 }
 
 // Bounds are the durations that the fleet's operators and the platform have agreed on.
@@ -47,12 +50,17 @@
 
 // DefaultSettings returns the defaults of the optional settings, with the usual bounds of the platform.
 func DefaultSettings() Settings {
-	return Settings{LogLevel: "info", Cores: 1, MachineOrderRate: 64, DirectServers: 100, DirectNodes: 30, Bounds: Bounds{
+	return Settings{LogLevel: "info", Cores: 1, MachineOrderRate: 64, DirectServers: 100, DirectNodes: 30, Interference: "off", Bounds: Bounds{
 		RevokeWithin: 5 * time.Second, MaxLease: 6 * time.Second, Grace: 6 * time.Second, EarlyStart: 250 * time.Millisecond,
 		HandoverInterval: 3 * time.Second, UpkeepDuration: 2 * time.Second, FinishedRetention: 5 * time.Minute,
 	}}
 }
 
+// interferenceModes holds the modes by their names in the settings.
+var interferenceModes = map[string]dispatch.InterferenceMode{
+	"off": dispatch.InterferenceIgnored, "observe": dispatch.InterferenceObserved, "avoid": dispatch.InterferenceAvoided,
+}
+
 // LoadSettings reads a settings file. The error of an invalid file names each fault with file, line and column.
 func LoadSettings(path string) (Settings, error) {
 	data, err := os.ReadFile(path)
@@ -88,6 +96,9 @@
 			add(field, "must not be below 0")
 		}
 	}
+	if _, known := interferenceModes[s.Interference]; !known {
+		add("interference", "must be off, observe or avoid")
+	}
 	if !operatorapi.ValidTokenHash(s.OperatorTokenSHA256) {
 		add("operator_token_sha256", "must be a SHA-256 in hexadecimal")
 	}
