Wait for late calls only if a call got no answer

A long-running task whose server restarted and was lost for good some seconds later waited 22 s for leases that late calls to the former incarnation might have extended, though every call had been answered. The wait counted from the last lease that was granted.

A call that was answered is not carried out again. The wait now counts from the last call that granted a lease and got no answer; a renewal or start that is underway when the restart becomes known is one, and so is a renewal that was sent a second time because its relay failed. Of the answers to predecessors a dispatcher knows nothing, but once the new incarnation has answered it has seen the higher fencing token and refuses their calls, so that only the longest lease is waited for from there on.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -77,6 +77,7 @@
 	sentAt          time.Duration // when the start was sent, or the run was adopted
 	activeAt        time.Duration // when the run was first known to be active; 0 if it isn't known yet
 	confirmedAt     time.Duration // when the start or the stop was confirmed; 0 if neither was
+	answered        bool          // the start has an answer or has timed out, or was a predecessor's
 	begun           bool          // the server has confirmed the start or reported the run
 	stopRetryAt     time.Duration // when a stop may be sent again
 	stopSent        bool
@@ -170,7 +171,8 @@
 	sentAt              time.Duration // when the renewal was sent that the last report answers
 	recvAt              time.Duration // when the last report was received; 0 if there is none
 	leasesExpireAt      time.Duration // by then all leases on it have expired, if no further lease is granted and no call for a former incarnation arrives
-	grantedAt           time.Duration // when this dispatcher last granted a lease; 0 if it never did
+	renewalSentAt       time.Duration // when the renewal was sent that has no answer yet and grants a lease; 0 if there is none
+	unansweredAt        time.Duration // when the last call of this dispatcher was sent that granted a lease and got no answer; 0 if there is none
 	formerLeasesEndAt   time.Duration // by then all leases have expired that calls for former incarnations may have extended
 	runs                map[string]*run
 	used                jobs.Resources // reserved by its runs
--- a/dispatch/knownred_test.go
+++ b/dispatch/knownred_test.go
@@ -107,26 +107,3 @@
 	assert.Empty(t, sim.violations)
 	assert.Equal(t, 1, sim.starts)
 }
-
-// TestLostServerIsAwaitedBriefly guards against a long-running task that waits for 20 s because its server is lost for good some seconds after a restart, though no call was
-// late.
-func TestLostServerIsAwaitedBriefly(t *testing.T) {
-	sim := newSimulation(92, 2)
-	sim.run(time.Second)
-	s, other := sim.servers["s0"], sim.servers["s1"]
-	other.info.Ready = false
-	sim.run(200 * time.Millisecond)
-	sim.restart(s)
-	sim.run(time.Second)
-	sim.submit(oldJob, longRunningStep())
-	sim.run(time.Second)
-	require.Len(t, s.runs, 1)
-	other.info.Ready = true
-	sim.run(100 * time.Millisecond)
-	s.up = false
-	at := sim.now
-	for sim.starts < 2 && sim.now-at < time.Minute {
-		sim.step()
-	}
-	assert.Less(t, sim.now-at, 6*time.Second)
-}
--- a/dispatch/restarts.go
+++ b/dispatch/restarts.go
@@ -26,8 +26,10 @@
 
 // removedServer is a server that was removed from the core and may come back under its id.
 type removedServer struct {
-	bornMS int64
-	at     time.Duration
+	bornMS            int64
+	at                time.Duration
+	unansweredAt      time.Duration // like those of server
+	formerLeasesEndAt time.Duration
 }
 
 // serverRestarted handles a new incarnation of a server with the same id. Everything that ran on the previous one is lost. A start that got no response
@@ -37,14 +39,13 @@
 	c.reportProblem(s, "server_reborn")
 	c.serverCrashed(s)
 	awaited := s.awaited()
+	c.collectUnanswered(s)
 	c.dropBegunRuns(s)
 	s.reconciled = !awaited
 	if !awaited {
 		s.leasesExpireAt = 0
 	}
-	if at := c.lastGrant(s); at > 0 {
-		s.formerLeasesEndAt = max(s.formerLeasesEndAt, at+c.formerLeaseTime())
-	}
+	c.awaitLateCalls(s)
 	if s.inLedger && s.formerLeasesEndAt > c.now {
 		c.records = append(c.records, c.serverRecord(s)) // a successor may not reach the new incarnation
 	}
@@ -70,12 +71,59 @@
 	}
 }
 
-// lastGrant returns the latest time at which a lease on a server may have been granted, by this dispatcher or a predecessor; 0 if there was none.
-func (c *Core) lastGrant(s *server) time.Duration {
+// collectUnanswered counts the calls of this dispatcher that are underway to a server, and grant leases, among those without an answer.
+func (c *Core) collectUnanswered(s *server) {
+	s.unansweredAt, s.renewalSentAt = max(s.unansweredAt, s.renewalSentAt), 0
+	for _, r := range s.runs {
+		if !r.answered {
+			s.unansweredAt = max(s.unansweredAt, r.sentAt)
+		}
+	}
+}
+
+// RenewalRepeated records that a renewal of an incarnation of a server, first sent at the given time, was sent again because it got no answer.
+func (c *Core) RenewalRepeated(r Renewal, sent time.Duration) {
+	if r.LeaseUntil > 0 {
+		c.grantUnanswered(r.Server, sent)
+	}
+}
+
+// grantUnanswered records that a call which grants a lease to an incarnation of a server got no answer.
+func (c *Core) grantUnanswered(asked jobs.Server, sent time.Duration) {
+	if removed, known := c.removedServers[asked.ID]; known {
+		removed.unansweredAt = max(removed.unansweredAt, sent)
+		c.removedServers[asked.ID] = removed
+	}
+	s := c.servers[asked.ID]
+	if s == nil {
+		return
+	}
+	s.unansweredAt = max(s.unansweredAt, sent)
+	if s.bornMS != asked.BornMS {
+		s.formerLeasesEndAt = max(s.formerLeasesEndAt, sent+c.formerLeaseTime())
+	}
+}
+
+// awaitLateCalls waits for the leases that the calls for former incarnations of a server may extend: those of this dispatcher that got no answer, and
+// those of its predecessors, of whose answers it knows nothing. A call that was answered isn't carried out again.
+func (c *Core) awaitLateCalls(s *server) {
+	at := s.unansweredAt
 	if s.inherited {
-		return max(s.grantedAt, min(c.now, c.params.PredecessorsUntil))
+		at = max(at, min(c.now, c.params.PredecessorsUntil))
+	}
+	if at > 0 {
+		s.formerLeasesEndAt = max(s.formerLeasesEndAt, at+c.formerLeaseTime())
 	}
-	return s.grantedAt
+}
+
+// fencePredecessors records that an incarnation of a server has seen the fencing token of this dispatcher, so that it refuses the late calls of
+// predecessors from now on.
+func (c *Core) fencePredecessors(s *server) {
+	end := min(s.formerLeasesEndAt, c.now+maxElapsed(c.params.MaxLease)+leaseMargin)
+	if s.unansweredAt > 0 {
+		end = max(end, min(s.formerLeasesEndAt, s.unansweredAt+c.formerLeaseTime()))
+	}
+	s.formerLeasesEndAt = end
 }
 
 // formerLeaseTime is how long a lease that is granted to a server can extend leases of later incarnations.
@@ -109,13 +157,18 @@
 			delete(c.unansweredStarts, id)
 		}
 	}
-	c.removedServers[s.info.ID] = removedServer{s.bornMS, c.now}
+	c.collectUnanswered(s)
+	c.awaitLateCalls(s)
+	c.removedServers[s.info.ID] = removedServer{s.bornMS, c.now, s.unansweredAt, s.formerLeasesEndAt}
 }
 
 // awaitFormerLeases waits for the leases of a server that was removed and comes back as another incarnation, as after a restart.
 func (c *Core) awaitFormerLeases(s *server) {
-	if removed, known := c.removedServers[s.info.ID]; known && removed.bornMS != s.bornMS {
-		s.formerLeasesEndAt = removed.at + c.formerLeaseTime()
+	if removed, known := c.removedServers[s.info.ID]; known {
+		s.unansweredAt = removed.unansweredAt
+		if removed.bornMS != s.bornMS {
+			s.formerLeasesEndAt = removed.formerLeasesEndAt
+		}
 	}
 	delete(c.removedServers, s.info.ID)
 }
--- a/dispatch/restarts_test.go
+++ b/dispatch/restarts_test.go
@@ -41,6 +41,13 @@
 	return sim.servers[o.Server.ID]
 }
 
+// restartUnanswered restarts a server after a renewal of its lease that gets no answer.
+func (sim *simulation) restartUnanswered(s *fakeServer) {
+	s.cutOff = true
+	sim.step()
+	sim.restart(s)
+}
+
 // TestStartForAFormerIncarnationDoesNotRunATaskTwice guards against a start that got no answer before its server restarted under its id and that the new
 // incarnation carries out, after the task has started elsewhere.
 func TestStartForAFormerIncarnationDoesNotRunATaskTwice(t *testing.T) {
@@ -132,7 +139,7 @@
 	sim.run(time.Second)
 	former := sim.ledger.Servers["s0"]
 	s := sim.servers["s0"]
-	sim.restart(s)
+	sim.restartUnanswered(s)
 	s.listedFrom = sim.now + time.Minute
 	sim.run(200 * time.Millisecond)
 	record := sim.ledger.Servers["s0"]
@@ -170,3 +177,51 @@
 		assert.Empty(t, sim.violations)
 	}
 }
+
+// TestLostServerIsAwaitedBriefly guards against a long-running task that waits for 20 s because its server is lost for good some seconds after a restart, though no call was
+// late.
+func TestLostServerIsAwaitedBriefly(t *testing.T) {
+	sim := newSimulation(92, 2)
+	sim.run(time.Second)
+	s, other := sim.servers["s0"], sim.servers["s1"]
+	other.info.Ready = false
+	sim.run(200 * time.Millisecond)
+	sim.restart(s)
+	sim.run(time.Second)
+	sim.submit(oldJob, longRunningStep())
+	sim.run(time.Second)
+	require.Len(t, s.runs, 1)
+	other.info.Ready = true
+	sim.run(100 * time.Millisecond)
+	s.up = false
+	at := sim.now
+	for sim.starts < 2 && sim.now-at < time.Minute {
+		sim.step()
+	}
+	assert.Less(t, sim.now-at, 6*time.Second)
+}
+
+// TestFencedCallsAreNotAwaited guards against a long-running task that waits for the late calls of former dispatchers after the server of the task, which
+// has restarted, has seen the fencing token of the present one. Calls that were carried out before may have extended leases.
+func TestFencedCallsAreNotAwaited(t *testing.T) {
+	sim := newSimulation(93, 2)
+	sim.servers["s1"].info.Ready = false
+	sim.submit(oldJob, longRunningStep())
+	sim.run(time.Second)
+	s := sim.servers["s0"]
+	require.Len(t, s.runs, 1)
+	sim.takeOver()
+	sim.run(100 * time.Millisecond)
+	sim.restart(s)
+	at := sim.now
+	sim.run(time.Second)
+	require.Len(t, s.runs, 1)
+	sim.servers["s1"].info.Ready = true
+	sim.run(100 * time.Millisecond)
+	s.cutOff = true
+	for sim.starts < 3 && sim.now-at < time.Minute {
+		sim.step()
+	}
+	assert.InDelta(t, testMaxLease.Seconds(), (sim.now - at).Seconds(), 1)
+	assert.Empty(t, sim.violations)
+}
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -112,13 +112,19 @@
 
 // StartAnswered handles the answer to a start that was sent to an incarnation of a server.
 func (c *Core) StartAnswered(asked jobs.Server, key string, attempt int64, result jobs.StartResult) {
+	r := c.findRun(asked.ID, key, attempt)
 	if result == jobs.StartUnknown {
 		c.addUnansweredStart(asked, key, attempt)
+		sent := c.now // at the latest
+		if r != nil {
+			sent = r.sentAt
+		}
+		c.grantUnanswered(asked, sent)
 	}
-	r := c.findRun(asked.ID, key, attempt)
 	if r == nil {
 		return
 	}
+	r.answered = true
 	if r.server.bornMS != asked.BornMS && asked.BornMS != 0 {
 		if result != jobs.StartUnknown {
 			c.removeRun(r) // it was lost with a former incarnation, or never began
@@ -237,7 +243,7 @@
 func (c *Core) adopt(s *server, a jobs.RunState) {
 	t := c.findTask(a.Task)
 	if t != nil && t.run == nil && !t.done && !t.step.occurrence.job.cancelled && !t.step.occurrence.job.failed && a.Attempt/attemptsPerEpoch < c.params.Epoch {
-		r := &run{task: t, server: s, attempt: a.Attempt, state: runActive, sentAt: c.now, confirmedAt: c.now, activeAt: c.now, progressAt: c.now, percent: a.Percent, pace: 100, begun: true, survived: true}
+		r := &run{task: t, server: s, attempt: a.Attempt, state: runActive, sentAt: c.now, confirmedAt: c.now, activeAt: c.now, progressAt: c.now, percent: a.Percent, pace: 100, answered: true, begun: true, survived: true}
 		c.addRun(r)
 		c.markStarted(t.step.occurrence.job)
 		t.recordCheckpoint(checkpoint{a.Checkpoint, a.Attempt, a.Percent})
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -212,6 +212,7 @@
 	// An unanswered renewal may still have arrived. The lease of an unresponsive server isn't extended, so that it expires eventually.
 	if s.recvAt > 0 && !s.unresponsive {
 		r.LeaseUntil, r.Wait = c.grantLease(s), s.renewalWait(r.WarmingUp)
+		s.renewalSentAt = c.now
 	}
 	return r, true
 }
@@ -237,7 +238,6 @@
 	until := s.clockMS + (c.now - s.recvAt).Milliseconds() + c.params.Lease.Milliseconds()
 	remaining := time.Duration(until-s.clockMS) * time.Millisecond
 	s.leasesExpireAt = max(s.leasesExpireAt, s.recvAt+maxElapsed(remaining)+leaseMargin)
-	s.grantedAt = c.now
 	return until
 }
 
@@ -252,6 +252,7 @@
 	if s == nil {
 		return
 	}
+	s.unansweredAt, s.renewalSentAt = max(s.unansweredAt, s.renewalSentAt), 0
 	if s.unresponsive {
 		c.serverSilent(s) // a single renewal may be lost
 	}
@@ -281,6 +282,7 @@
 // had begun before it was asked, so the other one is later, even if the server's time of day has gone back and it states an earlier start.
 func (c *Core) ServerRestarted(asked jobs.Server, bornMS int64) {
 	if s := c.servers[asked.ID]; s != nil && s.bornMS == asked.BornMS && bornMS != s.bornMS {
+		s.renewalSentAt = 0
 		c.serverRestarted(s, bornMS)
 	}
 }
@@ -310,6 +312,7 @@
 	if s == nil {
 		return
 	}
+	s.renewalSentAt = 0
 	if r.BornMS != 0 && s.bornMS != 0 && r.BornMS != s.bornMS {
 		if !s.namesSuccessor(r.BornMS) {
 			return
@@ -319,6 +322,9 @@
 	if r.BornMS != 0 {
 		s.bornMS = r.BornMS
 	}
+	if s.recvAt == 0 {
+		c.fencePredecessors(s)
+	}
 	s.clockMS, s.sentAt, s.recvAt, s.heardAt, s.unresponsive = r.ClockMS, sent, c.now, c.now, false
 	c.forgetSilence(id) // it was only cut off
 	c.count("report")
--- a/jobnode/renewals.go
+++ b/jobnode/renewals.go
@@ -116,6 +116,9 @@
 func (d *dispatcher) renew(ctx context.Context, id string, r dispatch.Renewal, sent time.Duration) {
 	report, result := d.servers.Renew(ctx, r.Server, platform.Renewal{LeaseUntil: r.LeaseUntil, Fence: d.role.Epoch, Taken: r.AckCursor, Wait: r.Wait})
 	d.update(func(c *dispatch.Core) {
+		if report.Repeated {
+			c.RenewalRepeated(r, sent)
+		}
 		switch result {
 		case platform.Renewed:
 			c.ReportReceived(id, sent, report)
--- a/jobs/model.go
+++ b/jobs/model.go
@@ -292,6 +292,8 @@
 	Ended   []End // in ascending order; the first of those that aren't acknowledged
 	// MoreEnds says that the server may have further ends, which it reports once the first ones are acknowledged.
 	MoreEnds bool
+	// Repeated says that the renewal was sent twice, because it got no answer the first time. The server may carry it out a second time.
+	Repeated bool
 }
 
 // StartResult is a server's response to a start.
--- a/relay/client.go
+++ b/relay/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -139,10 +140,14 @@
 func (c *Client) Renew(ctx context.Context, server jobs.Server, r platform.Renewal) (jobs.Report, platform.RenewalResult) {
 	if l := c.link(server); l != nil {
 		var reply RenewReply
-		if l.Call(ctx, serviceName+".Renew", RenewArgs{target(server), r}, &reply, r.Wait+platform.RenewalTimeout+OrderTimeout) == nil {
+		err := l.Call(ctx, serviceName+".Renew", RenewArgs{target(server), r}, &reply, r.Wait+platform.RenewalTimeout+OrderTimeout)
+		if err == nil {
 			return reply.Report, reply.Result
 		}
 		r.Wait = 0
+		report, result := c.direct.Renew(ctx, server, r)
+		report.Repeated = !errors.Is(err, ErrNotSent)
+		return report, result
 	}
 	return c.direct.Renew(ctx, server, r)
 }
