Keep a start without an answer when another server answers at its address

A task ran twice: its start had got no answer, another server then answered at the address of its server, and its run was given up at once. The server came back under its id at another address and carried the start out beside the run elsewhere.

Runs that may not have begun are kept until their leases have expired now, as on a server that is silent, or until the server reports; those that had begun are given up at once as before. A start that another server has refused did not begin and is dropped first, so it is no possible cause of a crash either.

--- a/dispatch/knownred_test.go
+++ b/dispatch/knownred_test.go
@@ -68,25 +68,6 @@
 	assert.Empty(t, sim.violations)
 }
 
-// TestFormerStartsAreAwaitedWhenAnotherServerAnswers guards against a second run of a task whose unanswered start is carried out by the next incarnation of a server, at
-// another address, after another server has answered at the former one.
-func TestFormerStartsAreAwaitedWhenAnotherServerAnswers(t *testing.T) {
-	sim := newSimulation(91, 2)
-	sim.run(time.Second)
-	s := sim.loseStart(t, oldJob, lastingStep(6*time.Second))
-	late := sim.lateCalls[0]
-	sim.lateCalls = nil
-	sim.core.ServerReplaced(sim.core.servers[s.info.ID].target())
-	sim.restart(s)
-	s.info.Address = "elsewhere"
-	s.listedFrom = sim.now + 500*time.Millisecond
-	delete(sim.entries, s.info.ID)
-	sim.run(300 * time.Millisecond)
-	sim.execute(late.epoch, late.order)
-	sim.run(5 * time.Second)
-	assert.Empty(t, sim.violations)
-}
-
 // TestEntryOfAPreviousServerEndsNoRun guards against a second run of a task because an outdated entry of the previous server of a machine, whose time of day has gone back,
 // counts as that of its present one.
 func TestEntryOfAPreviousServerEndsNoRun(t *testing.T) {
--- a/dispatch/restarts_test.go
+++ b/dispatch/restarts_test.go
@@ -225,3 +225,54 @@
 	assert.InDelta(t, testMaxLease.Seconds(), (sim.now - at).Seconds(), 1)
 	assert.Empty(t, sim.violations)
 }
+
+// TestFormerStartsAreAwaitedWhenAnotherServerAnswers guards against a second run of a task whose unanswered start is carried out by the next incarnation of a server, at
+// another address, after another server has answered at the former one.
+func TestFormerStartsAreAwaitedWhenAnotherServerAnswers(t *testing.T) {
+	sim := newSimulation(91, 2)
+	sim.run(time.Second)
+	s := sim.loseStart(t, oldJob, lastingStep(6*time.Second))
+	late := sim.lateCalls[0]
+	sim.lateCalls = nil
+	sim.core.ServerReplaced(sim.core.servers[s.info.ID].target())
+	sim.restart(s)
+	s.info.Address = "elsewhere"
+	s.listedFrom = sim.now + 500*time.Millisecond
+	delete(sim.entries, s.info.ID)
+	sim.run(300 * time.Millisecond)
+	sim.execute(late.epoch, late.order)
+	sim.run(5 * time.Second)
+	assert.Empty(t, sim.violations)
+}
+
+// TestReplacedServerIsAwaitedBriefly guards against a task that waits longer than for the lease of its unanswered start after another server has answered
+// at the address of its server, and against one that waits though its start was answered.
+func TestReplacedServerIsAwaitedBriefly(t *testing.T) {
+	for _, answered := range []bool{false, true} {
+		sim := newSimulation(94, 2)
+		sim.run(time.Second)
+		var s *fakeServer
+		if answered {
+			sim.submit(oldJob, longRunningStep())
+			sim.run(200 * time.Millisecond)
+			s = sim.serverWithRuns(t)
+		} else {
+			s = sim.loseStart(t, oldJob, longRunningStep())
+			sim.lateCalls = nil
+		}
+		s.up = false
+		starts, at := sim.starts, sim.now
+		for sim.starts == starts && sim.now-at < time.Minute {
+			if replaced := sim.core.servers[s.info.ID]; replaced != nil {
+				sim.core.ServerReplaced(replaced.target())
+			}
+			sim.step()
+		}
+		if answered {
+			assert.Less(t, sim.now-at, 200*time.Millisecond)
+		} else {
+			assert.InDelta(t, testLease.Seconds(), (sim.now - at).Seconds(), 0.5)
+		}
+		assert.Empty(t, sim.violations)
+	}
+}
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -152,6 +152,7 @@
 		r.state = runUnknown
 		c.countServerFailure(r.server)
 	case jobs.StartWrongInstance:
+		c.removeRun(r) // it didn't begin
 		c.ServerReplaced(r.server.target())
 	default:
 		c.startRefused(r, result)
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -273,11 +273,34 @@
 	if s == nil || s.bornMS != asked.BornMS || s.info.Address != asked.Address {
 		return
 	}
+	if s.hasUnansweredStart() && c.now < s.leasesEnd() {
+		c.awaitReturn(s)
+		return
+	}
 	c.reportProblem(s, "server_gone")
 	c.serverCrashed(s)
 	c.serverTerminated(s)
 }
 
+// hasUnansweredStart reports whether a run of a server may not have begun yet, so that the server may carry out its start later.
+func (s *server) hasUnansweredStart() bool {
+	for _, r := range s.runs {
+		if !r.begun && !r.stopConfirmed {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitReturn gives up the runs that had begun on a server which has ended. The others are kept until their leases have expired: the server may come back
+// under its id at another address and carry out their starts before this dispatcher reaches it.
+func (c *Core) awaitReturn(s *server) {
+	s.unresponsive = true
+	c.reportProblem(s, "server_gone")
+	c.serverCrashed(s)
+	c.dropBegunRuns(s)
+}
+
 // ServerRestarted records that another incarnation of a server has answered, which hasn't got the call that was meant for the one that was asked. That one
 // had begun before it was asked, so the other one is later, even if the server's time of day has gone back and it states an earlier start.
 func (c *Core) ServerRestarted(asked jobs.Server, bornMS int64) {
