Do not take a server that answers for the previous one of its machine

A task ran twice: the time of day of a machine had gone back, so its present server stated an earlier start than the previous one, and when the entry of that one was read again the present server counted as ended.

A server that has answered a call which was sent after the other one had become known runs later, whatever the two state. When an incarnation became known is kept for servers that are removed meanwhile.

--- a/dispatch/born_test.go
+++ b/dispatch/born_test.go
@@ -108,3 +108,45 @@
 	}
 	assert.Len(t, sim.core.servers["s0"].former, maxFormer)
 }
+
+// TestEntryOfAPreviousServerEndsNoRun guards against a second run of a task because an outdated entry of the previous server of a machine, whose time of day has gone back,
+// counts as that of its present one.
+func TestEntryOfAPreviousServerEndsNoRun(t *testing.T) {
+	sim := newSimulation(88, 2)
+	sim.run(time.Second)
+	previous := sim.servers["s0"]
+	next := sim.addServer("s9", previous.info.Capacity)
+	next.info.Machine, next.info.BornMS = previous.info.Machine, previous.info.BornMS-10_000
+	previous.up = false
+	sim.servers["s1"].info.Ready = false
+	sim.submit(oldJob, longRunningStep())
+	sim.run(2 * time.Second)
+	require.Len(t, next.runs, 1)
+	sim.servers["s1"].info.Ready = true
+	sim.run(200 * time.Millisecond)
+	sim.core.ServerListed(previous.info) // a complete reading of the list
+	sim.run(3 * time.Second)
+	assert.Empty(t, sim.violations)
+	assert.Equal(t, 1, sim.starts)
+}
+
+// TestEntryOfARemovedServerEndsNoRun guards against the same second run if the previous server was removed meanwhile.
+func TestEntryOfARemovedServerEndsNoRun(t *testing.T) {
+	sim := newSimulation(95, 2)
+	sim.run(time.Second)
+	previous := sim.servers["s0"]
+	next := sim.addServer("s9", previous.info.Capacity)
+	next.info.Machine, next.info.BornMS = previous.info.Machine, previous.info.BornMS-10_000
+	previous.up = false
+	sim.servers["s1"].info.Ready = false
+	sim.submit(oldJob, longRunningStep())
+	sim.run(8 * time.Second)
+	require.Nil(t, sim.core.servers["s0"])
+	require.Len(t, next.runs, 1)
+	sim.servers["s1"].info.Ready = true
+	sim.run(200 * time.Millisecond)
+	sim.core.ServerListed(previous.info)
+	sim.run(3 * time.Second)
+	assert.Empty(t, sim.violations)
+	assert.Equal(t, 1, sim.starts)
+}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -166,6 +166,7 @@
 	unresponsive        bool          // the last renewal got no answer
 	terminated          bool          // its incarnation has ended
 	bornMS              int64         // start of its incarnation, Unix time; 0 if it isn't known
+	knownAt             time.Duration // when this dispatcher learned of its incarnation
 	former              []int64       // starts of its former incarnations, by the end; the last maxFormer that this dispatcher has seen
 	clockMS             int64         // server clock at recvAt
 	sentAt              time.Duration // when the renewal was sent that the last report answers
--- a/dispatch/restarts.go
+++ b/dispatch/restarts.go
@@ -27,6 +27,7 @@
 // removedServer is a server that was removed from the core and may come back under its id.
 type removedServer struct {
 	bornMS            int64
+	knownAt           time.Duration
 	at                time.Duration
 	unansweredAt      time.Duration // like those of server
 	formerLeasesEndAt time.Duration
@@ -49,7 +50,7 @@
 	if s.inLedger && s.formerLeasesEndAt > c.now {
 		c.records = append(c.records, c.serverRecord(s)) // a successor may not reach the new incarnation
 	}
-	s.succeed(bornMS)
+	s.succeed(bornMS, c.now)
 	s.lastEnd, s.storedEnd, s.clockMS, s.recvAt = 0, 0, 0, 0
 	s.recorded, s.recording, s.consecutiveFailures = false, false, 0
 	s.restarts++
@@ -159,7 +160,7 @@
 	}
 	c.collectUnanswered(s)
 	c.awaitLateCalls(s)
-	c.removedServers[s.info.ID] = removedServer{s.bornMS, c.now, s.unansweredAt, s.formerLeasesEndAt}
+	c.removedServers[s.info.ID] = removedServer{s.bornMS, s.knownAt, c.now, s.unansweredAt, s.formerLeasesEndAt}
 }
 
 // awaitFormerLeases waits for the leases of a server that was removed and comes back as another incarnation, as after a restart.
@@ -168,6 +169,8 @@
 		s.unansweredAt = removed.unansweredAt
 		if removed.bornMS != s.bornMS {
 			s.formerLeasesEndAt = removed.formerLeasesEndAt
+		} else {
+			s.knownAt = removed.knownAt
 		}
 	}
 	delete(c.removedServers, s.info.ID)
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -9,7 +9,7 @@
 )
 
 func (c *Core) newServer(info jobs.Server) *server {
-	s := &server{info: info, runs: map[string]*run{}, bornMS: info.BornMS, idleSince: c.now, fillerPace: initialFillerPace}
+	s := &server{info: info, runs: map[string]*run{}, bornMS: info.BornMS, knownAt: c.now, idleSince: c.now, fillerPace: initialFillerPace}
 	c.servers[info.ID] = s
 	c.addToMachine(s)
 	c.awaitFormerLeases(s)
@@ -49,12 +49,12 @@
 }
 
 // succeed makes an incarnation the present one.
-func (s *server) succeed(bornMS int64) {
+func (s *server) succeed(bornMS int64, now time.Duration) {
 	s.former = append(slices.DeleteFunc(s.former, func(f int64) bool { return f == bornMS }), s.bornMS)
 	if n := len(s.former); n > maxFormer {
 		s.former = slices.Delete(s.former, 0, n-maxFormer)
 	}
-	s.bornMS = bornMS
+	s.bornMS, s.knownAt = bornMS, now
 }
 
 // addToMachine and removeFromMachine keep the index of servers by machine.
@@ -95,10 +95,11 @@
 	c.resolveSilence(s)
 }
 
-// removePreviousServers removes the servers that ran on the machine of s before s, because everything on them has ended.
+// removePreviousServers removes the servers that ran on the machine of s before s, because everything on them has ended. One that has answered a call which
+// was sent after s had become known is later, though the machine's time of day may have gone back and it states an earlier start.
 func (c *Core) removePreviousServers(s *server) {
 	for _, o := range slices.Clone(c.byMachine[s.info.Machine]) {
-		if o != s && o.bornMS < s.bornMS && !o.terminated {
+		if o != s && o.bornMS < s.bornMS && o.sentAt < s.knownAt && !o.terminated {
 			c.reportProblem(o, "machine_has_new_server")
 			c.serverCrashed(o)
 			c.serverTerminated(o)
