End the backoff of a server when it restarts

A server that restarted while it was left alone for failed runs got no work for up to 8 s more, though what had failed them was gone. The count of failures was reset already; the backoff is now too.

TestRestartEndsABackoff failed (nothing runs 0.5 s after the restart) and passes.

--- a/dispatch/restarts.go
+++ b/dispatch/restarts.go
@@ -52,7 +52,8 @@
 	}
 	s.succeed(bornMS, c.now)
 	s.lastEnd, s.storedEnd, s.clockMS, s.recvAt = 0, 0, 0, 0
-	s.recorded, s.recording, s.consecutiveFailures = false, false, 0
+	s.recorded, s.recording = false, false
+	s.consecutiveFailures, s.backoff, s.backoffUntil = 0, 0, 0
 	s.restarts++
 	for _, r := range s.runs {
 		r.stopSent = false
--- a/dispatch/restarts_test.go
+++ b/dispatch/restarts_test.go
@@ -276,3 +276,19 @@
 		assert.Empty(t, sim.violations)
 	}
 }
+
+// TestRestartEndsABackoff guards against a server that gets no work for seconds after a restart because its former incarnation had failed what it started.
+func TestRestartEndsABackoff(t *testing.T) {
+	sim := newSimulation(96, 1)
+	s := sim.servers["s0"]
+	s.failing = true
+	sim.submit(oldJob, stepOf(4, 500))
+	sim.run(500 * time.Millisecond)
+	require.Greater(t, sim.core.servers["s0"].backoffUntil, sim.now+time.Second)
+	s.failing = false
+	sim.restart(s)
+	sim.submit(newJob, longRunningStep())
+	sim.run(500 * time.Millisecond)
+	assert.NotNil(t, s.runs[newJob+".0.0.0"])
+	assert.Empty(t, sim.violations)
+}
