Take no time of day of another node for the end of leases

A successor whose time of day was 30 s ahead of its predecessor took leases from calls for a former incarnation for over, and started a task a second time. The record of a server names their end as a time of day.

The calls were sent before the record was stored, and that was before a node read it. A successor now counts the whole span from when its own follower read the record. A record that says nothing any more is stored anew without the time, so that a node which has just started, and knows no age of it, waits for nothing. Records keep their format.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -22,6 +22,8 @@
 	PredecessorsUntil time.Duration
 	// EarlyStart is how long before its scheduled time an occurrence may start.
 	EarlyStart time.Duration
+	// ServerSeenAt is when the present record of each server was read from the ledger, after it had been stored. Those that are missing count as read now.
+	ServerSeenAt map[string]time.Duration
 }
 
 const (
@@ -174,6 +176,7 @@
 	leasesExpireAt      time.Duration // by then all leases on it have expired, if no further lease is granted and no call for a former incarnation arrives
 	renewalSentAt       time.Duration // when the renewal was sent that has no answer yet and grants a lease; 0 if there is none
 	unansweredAt        time.Duration // when the last call of this dispatcher was sent that granted a lease and got no answer; 0 if there is none
+	formerLeasesStored  bool          // its record says that calls for former incarnations may have extended leases, or is about to
 	formerLeasesEndAt   time.Duration // by then all leases have expired that calls for former incarnations may have extended
 	runs                map[string]*run
 	used                jobs.Resources // reserved by its runs
@@ -286,7 +289,7 @@
 		srv := c.newServer(jobs.Server{ID: id, Service: s.Service, Address: s.Address, BornMS: s.BornMS, Machine: s.Machine})
 		srv.inherited, srv.inLedger, srv.recorded = true, true, true
 		srv.leasesExpireAt = c.leaseExpiry(p.PredecessorsUntil)
-		c.restoreFormerLeases(srv, s.FormerLeasesUntilMS)
+		c.restoreFormerLeases(srv, s)
 	}
 	c.updateAwaited()
 	for id, e := range l.Jobs {
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -291,12 +291,16 @@
 			b.servers = append(b.servers, s.incarnation())
 			b.Records = append(b.Records, c.serverRecord(s))
 		}
+		if s.recorded && s.formerLeasesStored && s.formerLeasesEndAt <= c.now {
+			b.Records = append(b.Records, c.serverRecord(s)) // a node that has just started doesn't know how old the record is
+		}
 	}
 	return b
 }
 
 // serverRecord returns the record of a server with its present incarnation.
 func (c *Core) serverRecord(s *server) ledger.Record {
+	s.formerLeasesStored = s.formerLeasesEndAt > c.now
 	return ledger.ServerRecord(s.info.ID, ledger.Server{
 		Service: s.info.Service, Address: s.info.Address, BornMS: s.bornMS, Machine: s.info.Machine, FormerLeasesUntilMS: c.formerLeasesUntilMS(s),
 	})
--- a/dispatch/restarts.go
+++ b/dispatch/restarts.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"example.org/comfreyrouter/jobs"
+	"example.org/comfreyrouter/ledger"
 )
 
 // A call without a response may be carried out seconds later. A server that has restarted under its id then carries it out as if it had been meant for
@@ -144,11 +145,22 @@
 	return c.wallMS + (s.formerLeasesEndAt - c.now).Milliseconds()
 }
 
-// restoreFormerLeases takes over what a predecessor has stored about the leases of a server.
-func (c *Core) restoreFormerLeases(s *server, untilMS int64) {
-	if remaining := jobs.Milliseconds(untilMS - c.wallMS); remaining > 0 {
-		s.formerLeasesEndAt = c.now + min(remaining, c.formerLeaseTime()) // the time of day may differ between nodes
+// restoreFormerLeases takes over what a predecessor has stored about the leases of a server. The stored time isn't used, since the time of day may differ
+// between nodes: the calls were sent before the record was stored, and that was before it was read.
+func (c *Core) restoreFormerLeases(s *server, stored ledger.Server) {
+	if stored.FormerLeasesUntilMS == 0 {
+		return
+	}
+	s.formerLeasesStored = true
+	s.formerLeasesEndAt = c.serverSeenAt(s.info.ID) + c.formerLeaseTime()
+}
+
+// serverSeenAt returns when the record of a server was read that the ledger had when this dispatcher began.
+func (c *Core) serverSeenAt(id string) time.Duration {
+	if at, known := c.params.ServerSeenAt[id]; known {
+		return at
 	}
+	return c.now
 }
 
 // rememberRemoved remembers a server that is removed, and forgets those that were removed long ago.
--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -118,6 +118,7 @@
 	d.predecessors = newPredecessors(d.role.Predecessors, d.claimedAt)
 	d.core = dispatch.New(dispatch.Params{
 		Epoch: d.role.Epoch, Lease: min(runLease, bounds.MaxLease), MaxLease: bounds.MaxLease, PredecessorsUntil: d.predecessors.ordersUntil(d.follower), EarlyStart: bounds.EarlyStart,
+		ServerSeenAt: d.follower.serverSeenAt,
 	}, d.follower.ledger, config, boottime.Now(), time.Now().UnixMilli())
 	d.follower.changes = nil
 	events.Log(d.log, events.DispatcherStarted, d.role.Epoch, len(d.follower.ledger.Jobs))
--- a/jobnode/follower.go
+++ b/jobnode/follower.go
@@ -64,13 +64,14 @@
 	claimSeenAt    map[int64]time.Duration  // when the first record of each epoch was read
 	history        *forecast.History        // of the submitted jobs
 	orderSeenAt    map[string]time.Duration // when the last order for each machine was read
+	serverSeenAt   map[string]time.Duration // when the record of each server was last read
 	dispatching    bool
 	changes        []change      // since the last takeChanges; all kinds are recorded only while this node dispatches
 	signal         chan struct{} // wakes the scheduler after a change
 }
 
 func newFollower(store *platform.StoreClient, log zerolog.Logger) *follower {
-	return &follower{store: store, log: log, reads: dependencyLog{name: "ledger", log: log}, ledger: ledger.New(), claimSeenAt: map[int64]time.Duration{}, history: forecast.New(), orderSeenAt: map[string]time.Duration{}, signal: make(chan struct{}, 1)}
+	return &follower{store: store, log: log, reads: dependencyLog{name: "ledger", log: log}, ledger: ledger.New(), claimSeenAt: map[int64]time.Duration{}, history: forecast.New(), orderSeenAt: map[string]time.Duration{}, serverSeenAt: map[string]time.Duration{}, signal: make(chan struct{}, 1)}
 }
 
 // Run follows the ledger's topic until ctx ends.
@@ -221,6 +222,9 @@
 	if kind == ledger.MachineOrdered {
 		f.orderSeenAt[id] = boottime.Now()
 	}
+	if kind == ledger.ServerChanged {
+		f.serverSeenAt[id] = boottime.Now()
+	}
 	if ledger.IsDispatcherKey(r.Key) {
 		f.heardAt = boottime.Now()
 		f.recordClaim()
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -271,6 +271,7 @@
 	JobCancelled
 	DispatcherChanged
 	MachineOrdered
+	ServerChanged
 	OtherChange
 )
 
@@ -394,14 +395,14 @@
 func (l *Ledger) applyServer(id string, value []byte) (Change, error) {
 	if len(value) == 0 {
 		delete(l.Servers, id)
-		return OtherChange, nil
+		return ServerChanged, nil
 	}
 	var s Server
 	if err := json.Unmarshal(value, &s); err != nil {
 		return NoChange, oops.Wrapf(err, "decode record of server %s", id)
 	}
 	l.Servers[id] = s
-	return OtherChange, nil
+	return ServerChanged, nil
 }
 
 // applyNode ignores a record of an earlier process of the node, whose append may have taken effect late.
