Keep a record of removed servers that late calls may reach

A task ran twice after a takeover: the predecessor had removed its server, which came back under its id and carried out a late call before the successor had called it. The successor did not know that there had been a former incarnation, and took the lease for one of its own.

A server that is removed while calls may still extend the leases of its next incarnation keeps a record with a mark, until they can not any more. A dispatcher that finds it knows of no runs there, but waits for such leases once the server is back.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -286,6 +286,10 @@
 	}
 	c.SetConfiguration(config)
 	for id, s := range l.Servers {
+		if s.Removed {
+			c.restoreRemoved(id, s)
+			continue
+		}
 		srv := c.newServer(jobs.Server{ID: id, Service: s.Service, Address: s.Address, BornMS: s.BornMS, Machine: s.Machine})
 		srv.inherited, srv.inLedger, srv.recorded = true, true, true
 		srv.leasesExpireAt = c.leaseExpiry(p.PredecessorsUntil)
--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -164,7 +164,7 @@
 	for _, r := range t.silentRuns {
 		s := c.silent[r.Server]
 		known, recorded := servers[r.Server]
-		if !recorded {
+		if !recorded || known.Removed {
 			continue // it has left
 		}
 		s.machine, s.bornMS, s.at = known.Machine, max(s.bornMS, r.BornMS), c.now
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -271,6 +271,7 @@
 
 // TakeBatch returns the records decided since the last call.
 func (c *Core) TakeBatch() Batch {
+	c.forgetRemoved()
 	b := Batch{Records: c.records, ends: map[incarnation]int64{}}
 	c.records = nil
 	b.crashed, c.unstoredCrashes = c.unstoredCrashes, nil
--- a/dispatch/restarts.go
+++ b/dispatch/restarts.go
@@ -32,6 +32,7 @@
 	at                time.Duration
 	unansweredAt      time.Duration // like those of server
 	formerLeasesEndAt time.Duration
+	inLedger          bool // the ledger has a record of it
 }
 
 // serverRestarted handles a new incarnation of a server with the same id. Everything that ran on the previous one is lost. A start that got no response
@@ -163,23 +164,39 @@
 	return c.now
 }
 
-// rememberRemoved remembers a server that is removed, and forgets those that were removed long ago.
-func (c *Core) rememberRemoved(s *server) {
+// forgetRemoved forgets the servers that were removed long ago.
+func (c *Core) forgetRemoved() {
 	for id, removed := range c.removedServers {
-		if c.now-removed.at > c.formerLeaseTime() {
-			delete(c.removedServers, id)
-			delete(c.unansweredStarts, id)
+		if c.now-removed.at <= c.formerLeaseTime() {
+			continue
+		}
+		delete(c.removedServers, id)
+		delete(c.unansweredStarts, id)
+		if removed.inLedger {
+			c.records = append(c.records, ledger.ServerRemovedRecord(id))
 		}
 	}
+}
+
+// restoreRemoved takes over what a predecessor has stored about a server that it had removed.
+func (c *Core) restoreRemoved(id string, stored ledger.Server) {
+	seen := c.serverSeenAt(id)
+	c.removedServers[id] = removedServer{bornMS: stored.BornMS, knownAt: seen, at: seen, formerLeasesEndAt: seen + c.formerLeaseTime(), inLedger: true}
+}
+
+// rememberRemoved remembers a server that is removed, and reports whether successors have to know of it: calls may extend the leases of its next incarnation.
+func (c *Core) rememberRemoved(s *server) bool {
 	c.collectUnanswered(s)
 	c.awaitLateCalls(s)
-	c.removedServers[s.info.ID] = removedServer{s.bornMS, s.knownAt, c.now, s.unansweredAt, s.formerLeasesEndAt}
+	stored := s.formerLeasesEndAt > c.now
+	c.removedServers[s.info.ID] = removedServer{s.bornMS, s.knownAt, c.now, s.unansweredAt, s.formerLeasesEndAt, stored}
+	return stored
 }
 
 // awaitFormerLeases waits for the leases of a server that was removed and comes back as another incarnation, as after a restart.
 func (c *Core) awaitFormerLeases(s *server) {
 	if removed, known := c.removedServers[s.info.ID]; known {
-		s.unansweredAt = removed.unansweredAt
+		s.unansweredAt, s.inLedger = removed.unansweredAt, removed.inLedger
 		if removed.bornMS != s.bornMS {
 			s.formerLeasesEndAt = removed.formerLeasesEndAt
 		} else {
--- a/dispatch/restarts_test.go
+++ b/dispatch/restarts_test.go
@@ -324,3 +324,54 @@
 	sim.run(12 * time.Second)
 	assert.Empty(t, sim.violations)
 }
+
+// TestFormerLeasesAreAwaitedAfterARemovalAndATakeover guards against a successor that doesn't know that a server which has come back had a former incarnation: its
+// predecessor had removed it.
+func TestFormerLeasesAreAwaitedAfterARemovalAndATakeover(t *testing.T) {
+	sim := newSimulation(86, 2)
+	sim.run(20 * time.Second)
+	s := sim.loseStart(t, oldJob, lastingStep(300*time.Millisecond))
+	late := sim.lateCalls[0]
+	sim.lateCalls = nil
+	s.up = false
+	sim.run(6 * time.Second)
+	require.Nil(t, sim.core.servers[s.info.ID])
+	sim.takeOver()
+	sim.run(500 * time.Millisecond)
+	sim.restart(s)
+	sim.execute(late.epoch, late.order) // 6.5 s late, before the new dispatcher has called the server
+	other := sim.servers["s1"]
+	if other == s {
+		other = sim.servers["s0"]
+	}
+	sim.run(500 * time.Millisecond)
+	other.info.Ready = false
+	sim.violations = nil
+	sim.submit(newJob, lastingStep(20*time.Second))
+	sim.run(time.Second)
+	require.NotNil(t, s.runs[newJob+".0.0.0"])
+	other.info.Ready = true
+	sim.run(100 * time.Millisecond)
+	s.cutOff = true
+	sim.run(12 * time.Second)
+	assert.Empty(t, sim.violations)
+}
+
+// TestRecordsOfRemovedServersAreBounded guards against records of removed servers that stay in the ledger for ever, also after a takeover.
+func TestRecordsOfRemovedServersAreBounded(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		sim := newSimulation(97, 2)
+		sim.run(time.Second)
+		sim.servers["s0"].up = false
+		sim.run(6 * time.Second)
+		require.Nil(t, sim.core.servers["s0"])
+		assert.True(t, sim.ledger.Servers["s0"].Removed)
+		if takeover {
+			sim.takeOver()
+			sim.run(time.Second)
+			assert.Nil(t, sim.core.servers["s0"], "nothing runs there")
+		}
+		sim.run(testFormerLease)
+		assert.NotContains(t, sim.ledger.Servers, "s0")
+	}
+}
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -157,8 +157,13 @@
 func (c *Core) removeServer(s *server) {
 	delete(c.servers, s.info.ID)
 	c.removeFromMachine(s)
-	c.rememberRemoved(s)
-	if s.inLedger {
+	stored := c.rememberRemoved(s)
+	switch {
+	case stored:
+		c.records = append(c.records, ledger.ServerRecord(s.info.ID, ledger.Server{
+			Service: s.info.Service, Address: s.info.Address, BornMS: s.bornMS, Machine: s.info.Machine, FormerLeasesUntilMS: c.formerLeasesUntilMS(s), Removed: true,
+		}))
+	case s.inLedger:
 		c.records = append(c.records, ledger.ServerRemovedRecord(s.info.ID))
 	}
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -154,6 +154,8 @@
 	Machine string `json:"m,omitempty"`
 	// FormerLeasesUntilMS is the Unix time by which all leases have expired that calls for former incarnations may have extended; 0 if they have.
 	FormerLeasesUntilMS int64 `json:"l,omitempty"`
+	// Removed says that nothing runs on the server, of which only FormerLeasesUntilMS is kept in case it comes back as another incarnation.
+	Removed bool `json:"x,omitempty"`
 }
 
 // Entry holds the records of one job.
