--- a/dispatch/restarts_test.go
+++ b/dispatch/restarts_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -375,3 +376,23 @@
 		assert.NotContains(t, sim.ledger.Servers, "s0")
 	}
 }
+
+// TestRecoveredServerGetsWork guards against a job that has nothing running for longer than the rules allow after its only server has stopped failing
+// everything: the server was left alone for up to 8 s.
+func TestRecoveredServerGetsWork(t *testing.T) {
+	sim := newSimulation(98, 1)
+	s := sim.servers["s0"]
+	s.failing = true
+	for i := 0; sim.core.servers["s0"] == nil || sim.core.servers["s0"].backoff < maxBackoff; i++ {
+		require.Less(t, i, 1000)
+		sim.submit(fmt.Sprintf("%016x", i), stepOf(1, 500))
+		sim.run(100 * time.Millisecond)
+	}
+	s.failing = false
+	at, starts := sim.now, sim.starts
+	sim.submit(newJob, stepOf(1, 500))
+	for sim.starts == starts && sim.now-at < time.Minute {
+		sim.step()
+	}
+	assert.Less(t, sim.now-at, contactTime+maxIdleTime)
+}
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -19,7 +19,7 @@
 	failuresToBackOff = 3
 	// minBackoff and maxBackoff bound the time for which a failing server gets no work. It doubles with each failed probe.
 	minBackoff = 2 * time.Second
-	maxBackoff = 8 * time.Second
+	maxBackoff = 4 * time.Second
 )
 
 // start assigns a task to a server and orders its start.
