--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -25,6 +25,8 @@
 	EarlyStart time.Duration
 	// Interference says what is done about tasks that slow each other down.
 	Interference InterferenceMode
+	// ServerSeenAt is when the present record of each server was read from the ledger, after it had been stored. Those that are missing count as read now.
+	ServerSeenAt map[string]time.Duration
 }
 
 const (
@@ -80,6 +82,7 @@
 	sentAt          time.Duration // when the start was sent, or the run was adopted
 	activeAt        time.Duration // when the run was first known to be active; 0 if it isn't known yet
 	confirmedAt     time.Duration // when the start or the stop was confirmed; 0 if neither was
+	answered        bool          // the start has an answer or has timed out, or was a predecessor's
 	begun           bool          // the server has confirmed the start or reported the run
 	stopRetryAt     time.Duration // when a stop may be sent again
 	stopSent        bool
@@ -170,12 +173,15 @@
 	unresponsive        bool          // the last renewal got no answer
 	terminated          bool          // its incarnation has ended
 	bornMS              int64         // start of its incarnation, Unix time; 0 if it isn't known
+	knownAt             time.Duration // when this dispatcher learned of its incarnation
 	former              []int64       // starts of its former incarnations, by the end; the last maxFormer that this dispatcher has seen
 	clockMS             int64         // server clock at recvAt
 	sentAt              time.Duration // when the renewal was sent that the last report answers
 	recvAt              time.Duration // when the last report was received; 0 if there is none
 	leasesExpireAt      time.Duration // by then all leases on it have expired, if no further lease is granted and no call for a former incarnation arrives
-	grantedAt           time.Duration // when this dispatcher last granted a lease; 0 if it never did
+	renewalSentAt       time.Duration // when the renewal was sent that has no answer yet and grants a lease; 0 if there is none
+	unansweredAt        time.Duration // when the last call of this dispatcher was sent that granted a lease and got no answer; 0 if there is none
+	formerLeasesStored  bool          // its record says that calls for former incarnations may have extended leases, or is about to
 	formerLeasesEndAt   time.Duration // by then all leases have expired that calls for former incarnations may have extended
 	runs                map[string]*run
 	used                jobs.Resources // reserved by its runs
@@ -294,10 +300,14 @@
 	c.avoidInterference = p.Interference == InterferenceAvoided
 	c.SetConfiguration(config)
 	for id, s := range l.Servers {
+		if s.Removed {
+			c.restoreRemoved(id, s)
+			continue
+		}
 		srv := c.newServer(jobs.Server{ID: id, Service: s.Service, Address: s.Address, BornMS: s.BornMS, Machine: s.Machine})
 		srv.inherited, srv.inLedger, srv.recorded = true, true, true
 		srv.leasesExpireAt = c.leaseExpiry(p.PredecessorsUntil)
-		c.restoreFormerLeases(srv, s.FormerLeasesUntilMS)
+		c.restoreFormerLeases(srv, s)
 	}
 	c.updateAwaited()
 	for id, e := range l.Jobs {
--- a/dispatch/restarts.go
+++ b/dispatch/restarts.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"example.org/comfreyrouter/jobs"
+	"example.org/comfreyrouter/ledger"
 )
 
 // A call without a response may be carried out seconds later. A server that has restarted under its id then carries it out as if it had been meant for
@@ -26,8 +27,12 @@
 
 // removedServer is a server that was removed from the core and may come back under its id.
 type removedServer struct {
-	bornMS int64
-	at     time.Duration
+	bornMS            int64
+	knownAt           time.Duration
+	at                time.Duration
+	unansweredAt      time.Duration // like those of server
+	formerLeasesEndAt time.Duration
+	inLedger          bool // the ledger has a record of it
 }
 
 // serverRestarted handles a new incarnation of a server with the same id. Everything that ran on the previous one is lost. A start that got no response
@@ -37,20 +42,20 @@
 	c.reportProblem(s, "server_reborn")
 	c.serverCrashed(s)
 	awaited := s.awaited()
+	c.collectUnanswered(s)
 	c.dropBegunRuns(s)
 	s.reconciled = !awaited
 	if !awaited {
 		s.leasesExpireAt = 0
 	}
-	if at := c.lastGrant(s); at > 0 {
-		s.formerLeasesEndAt = max(s.formerLeasesEndAt, at+c.formerLeaseTime())
-	}
+	c.awaitLateCalls(s)
 	if s.inLedger && s.formerLeasesEndAt > c.now {
 		c.records = append(c.records, c.serverRecord(s)) // a successor may not reach the new incarnation
 	}
-	s.succeed(bornMS)
+	s.succeed(bornMS, c.now)
 	s.lastEnd, s.storedEnd, s.clockMS, s.recvAt = 0, 0, 0, 0
-	s.recorded, s.recording, s.consecutiveFailures = false, false, 0
+	s.recorded, s.recording = false, false
+	s.consecutiveFailures, s.backoff, s.backoffUntil = 0, 0, 0
 	s.restarts++
 	for _, r := range s.runs {
 		r.stopSent = false
@@ -70,12 +75,59 @@
 	}
 }
 
-// lastGrant returns the latest time at which a lease on a server may have been granted, by this dispatcher or a predecessor; 0 if there was none.
-func (c *Core) lastGrant(s *server) time.Duration {
+// collectUnanswered counts the calls of this dispatcher that are underway to a server, and grant leases, among those without an answer.
+func (c *Core) collectUnanswered(s *server) {
+	s.unansweredAt, s.renewalSentAt = max(s.unansweredAt, s.renewalSentAt), 0
+	for _, r := range s.runs {
+		if !r.answered {
+			s.unansweredAt = max(s.unansweredAt, r.sentAt)
+		}
+	}
+}
+
+// RenewalRepeated records that a renewal of an incarnation of a server, first sent at the given time, was sent again because it got no answer.
+func (c *Core) RenewalRepeated(r Renewal, sent time.Duration) {
+	if r.LeaseUntil > 0 {
+		c.grantUnanswered(r.Server, sent)
+	}
+}
+
+// grantUnanswered records that a call which grants a lease to an incarnation of a server got no answer.
+func (c *Core) grantUnanswered(asked jobs.Server, sent time.Duration) {
+	if removed, known := c.removedServers[asked.ID]; known {
+		removed.unansweredAt = max(removed.unansweredAt, sent)
+		c.removedServers[asked.ID] = removed
+	}
+	s := c.servers[asked.ID]
+	if s == nil {
+		return
+	}
+	s.unansweredAt = max(s.unansweredAt, sent)
+	if s.bornMS != asked.BornMS {
+		s.formerLeasesEndAt = max(s.formerLeasesEndAt, sent+c.formerLeaseTime())
+	}
+}
+
+// awaitLateCalls waits for the leases that the calls for former incarnations of a server may extend: those of this dispatcher that got no answer, and
+// those of its predecessors, of whose answers it knows nothing. A call that was answered isn't carried out again.
+func (c *Core) awaitLateCalls(s *server) {
+	at := s.unansweredAt
 	if s.inherited {
-		return max(s.grantedAt, min(c.now, c.params.PredecessorsUntil))
+		at = max(at, min(c.now, c.params.PredecessorsUntil))
 	}
-	return s.grantedAt
+	if at > 0 {
+		s.formerLeasesEndAt = max(s.formerLeasesEndAt, at+c.formerLeaseTime())
+	}
+}
+
+// fencePredecessors records that an incarnation of a server has seen the fencing token of this dispatcher, so that it refuses the late calls of
+// predecessors from now on.
+func (c *Core) fencePredecessors(s *server) {
+	end := min(s.formerLeasesEndAt, c.now+maxElapsed(c.params.MaxLease)+leaseMargin)
+	if s.unansweredAt > 0 {
+		end = max(end, min(s.formerLeasesEndAt, s.unansweredAt+c.formerLeaseTime()))
+	}
+	s.formerLeasesEndAt = end
 }
 
 // formerLeaseTime is how long a lease that is granted to a server can extend leases of later incarnations.
@@ -94,28 +146,62 @@
 	return c.wallMS + (s.formerLeasesEndAt - c.now).Milliseconds()
 }
 
-// restoreFormerLeases takes over what a predecessor has stored about the leases of a server.
-func (c *Core) restoreFormerLeases(s *server, untilMS int64) {
-	if remaining := jobs.Milliseconds(untilMS - c.wallMS); remaining > 0 {
-		s.formerLeasesEndAt = c.now + min(remaining, c.formerLeaseTime()) // the time of day may differ between nodes
+// restoreFormerLeases takes over what a predecessor has stored about the leases of a server. The stored time isn't used, since the time of day may differ
+// between nodes: the calls were sent before the record was stored, and that was before it was read.
+func (c *Core) restoreFormerLeases(s *server, stored ledger.Server) {
+	if stored.FormerLeasesUntilMS == 0 {
+		return
+	}
+	s.formerLeasesStored = true
+	s.formerLeasesEndAt = c.serverSeenAt(s.info.ID) + c.formerLeaseTime()
+}
+
+// serverSeenAt returns when the record of a server was read that the ledger had when this dispatcher began.
+func (c *Core) serverSeenAt(id string) time.Duration {
+	if at, known := c.params.ServerSeenAt[id]; known {
+		return at
 	}
+	return c.now
 }
 
-// rememberRemoved remembers a server that is removed, and forgets those that were removed long ago.
-func (c *Core) rememberRemoved(s *server) {
+// forgetRemoved forgets the servers that were removed long ago.
+func (c *Core) forgetRemoved() {
 	for id, removed := range c.removedServers {
-		if c.now-removed.at > c.formerLeaseTime() {
-			delete(c.removedServers, id)
-			delete(c.unansweredStarts, id)
+		if c.now-removed.at <= c.formerLeaseTime() {
+			continue
+		}
+		delete(c.removedServers, id)
+		delete(c.unansweredStarts, id)
+		if removed.inLedger {
+			c.records = append(c.records, ledger.ServerRemovedRecord(id))
 		}
 	}
-	c.removedServers[s.info.ID] = removedServer{s.bornMS, c.now}
+}
+
+// restoreRemoved takes over what a predecessor has stored about a server that it had removed.
+func (c *Core) restoreRemoved(id string, stored ledger.Server) {
+	seen := c.serverSeenAt(id)
+	c.removedServers[id] = removedServer{bornMS: stored.BornMS, knownAt: seen, at: seen, formerLeasesEndAt: seen + c.formerLeaseTime(), inLedger: true}
+}
+
+// rememberRemoved remembers a server that is removed, and reports whether successors have to know of it: calls may extend the leases of its next incarnation.
+func (c *Core) rememberRemoved(s *server) bool {
+	c.collectUnanswered(s)
+	c.awaitLateCalls(s)
+	stored := s.formerLeasesEndAt > c.now
+	c.removedServers[s.info.ID] = removedServer{s.bornMS, s.knownAt, c.now, s.unansweredAt, s.formerLeasesEndAt, stored}
+	return stored
 }
 
 // awaitFormerLeases waits for the leases of a server that was removed and comes back as another incarnation, as after a restart.
 func (c *Core) awaitFormerLeases(s *server) {
-	if removed, known := c.removedServers[s.info.ID]; known && removed.bornMS != s.bornMS {
-		s.formerLeasesEndAt = removed.at + c.formerLeaseTime()
+	if removed, known := c.removedServers[s.info.ID]; known {
+		s.unansweredAt, s.inLedger = removed.unansweredAt, removed.inLedger
+		if removed.bornMS != s.bornMS {
+			s.formerLeasesEndAt = removed.formerLeasesEndAt
+		} else {
+			s.knownAt = removed.knownAt
+		}
 	}
 	delete(c.removedServers, s.info.ID)
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -154,6 +154,8 @@
 	Machine string `json:"m,omitempty"`
 	// FormerLeasesUntilMS is the Unix time by which all leases have expired that calls for former incarnations may have extended; 0 if they have.
 	FormerLeasesUntilMS int64 `json:"l,omitempty"`
+	// Removed says that nothing runs on the server, of which only FormerLeasesUntilMS is kept in case it comes back as another incarnation.
+	Removed bool `json:"x,omitempty"`
 }
 
 // Entry holds the records of one job.
@@ -271,6 +273,7 @@
 	JobCancelled
 	DispatcherChanged
 	MachineOrdered
+	ServerChanged
 	OtherChange
 )
 
@@ -394,14 +397,14 @@
 func (l *Ledger) applyServer(id string, value []byte) (Change, error) {
 	if len(value) == 0 {
 		delete(l.Servers, id)
-		return OtherChange, nil
+		return ServerChanged, nil
 	}
 	var s Server
 	if err := json.Unmarshal(value, &s); err != nil {
 		return NoChange, oops.Wrapf(err, "decode record of server %s", id)
 	}
 	l.Servers[id] = s
-	return OtherChange, nil
+	return ServerChanged, nil
 }
 
 // applyNode ignores a record of an earlier process of the node, whose append may have taken effect late.
