Let a relay refuse or hand back a start

A relay with orders in hand may know of an evacuation that the dispatcher hadn't read, or may not know enough. It now gets the server's data centre, and a start that it can't vouch for goes back to the dispatcher, which sends it itself.

--- a/jobs/model.go
+++ b/jobs/model.go
@@ -230,6 +230,7 @@
 	Labels                                    []string // its kind, then its rack
 	BornMS                                    int64    // start of this incarnation, Unix time
 	RemainingMS                               int64    // minimum time that is left while it drains
+	WarmUpMS                                  int64    // how much longer it stays slow after its start
 }
 
 // Rack returns the label that names the server's rack.
@@ -310,6 +311,9 @@
 	StartInvalid
 	StartNoTicket  // the ticket that the queue's policy requires is missing or no longer valid
 	StartRestarted // the server has restarted under its id, and the start wasn't sent
+	StartEvacuated // the server's data centre is evacuated, and the start wasn't sent
+	// StartViewOutdated means that the start wasn't sent because the node doesn't know which data centres are evacuated.
+	StartViewOutdated
 )
 
 // Order is an order to start one task on one server.
--- a/relay/client.go
+++ b/relay/client.go
@@ -105,6 +105,9 @@
 	var reply StartReply
 	switch l.Call(ctx, serviceName+".Start", StartArgs{target(server), o}, &reply, OrderTimeout) {
 	case nil:
+		if reply.Result == jobs.StartViewOutdated {
+			return c.direct.Start(ctx, server, o) // this node may know which data centres are evacuated
+		}
 		return reply.Result
 	case ErrNotSent:
 		return c.direct.Start(ctx, server, o)
@@ -147,4 +150,4 @@
 	return c.direct.Renew(ctx, server, r)
 }
 
-func target(s jobs.Server) Target { return Target{s.ID, s.Address, s.BornMS} }
+func target(s jobs.Server) Target { return Target{s.ID, s.Address, s.DataCentre, s.BornMS} }
--- a/relay/client_test.go
+++ b/relay/client_test.go
@@ -191,3 +191,21 @@
 	_, renews := remote.count()
 	assert.Equal(t, 1, renews, "through the same relay")
 }
+
+// TestRelayWithAnOutdatedViewHandsStartsBack guards against tasks that don't start because their relay is cut off from the store, and against a start that is
+// sent although a relay knows that the data centre is evacuated. The relay has to know the server's data centre.
+func TestRelayWithAnOutdatedViewHandsStartsBack(t *testing.T) {
+	remote := &fakeServers{result: jobs.StartViewOutdated}
+	address, _ := serve(t, remote)
+	client, direct := newTestClient(t, address)
+	assert.Equal(t, jobs.Started, client.Start(t.Context(), server, order))
+	starts, _ := direct.count()
+	assert.Equal(t, 1, starts)
+	remote.mu.Lock()
+	remote.result = jobs.StartEvacuated
+	remote.mu.Unlock()
+	assert.Equal(t, jobs.StartEvacuated, client.Start(t.Context(), server, order))
+	starts, _ = direct.count()
+	assert.Equal(t, 1, starts)
+	assert.Equal(t, server.DataCentre, target(server).server().DataCentre)
+}
--- a/relay/service.go
+++ b/relay/service.go
@@ -36,11 +36,12 @@
 // Target identifies an incarnation of a backend server to a relay.
 type Target struct {
 	ID, Address string
-	BornMS      int64 // start of the incarnation, Unix time; 0 if it isn't known
+	DataCentre  string // empty if the dispatcher doesn't name it
+	BornMS      int64  // start of the incarnation, Unix time; 0 if it isn't known
 }
 
 func (t Target) server() jobs.Server {
-	return jobs.Server{ID: t.ID, Address: t.Address, BornMS: t.BornMS}
+	return jobs.Server{ID: t.ID, Address: t.Address, DataCentre: t.DataCentre, BornMS: t.BornMS}
 }
 
 // StartArgs asks for the start of a task.
