Start nothing in evacuated data centres, and move long-running tasks away

A server there isn't schedulable, so placement, admission and tickets leave it out. Long-running tasks are stopped one after another within the miss budgets where there is a place elsewhere.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"example.org/comfreyrouter/evacuation"
 	"example.org/comfreyrouter/jobs"
 	"example.org/comfreyrouter/ledger"
 )
@@ -211,6 +212,9 @@
 	upkeepDue          map[string]bool // servers whose machines are due for upkeep
 	unstoredJobs       map[string]*job // jobs whose progress has to be stored
 	unstoredCrashes    []*task
+	evacuation         evacuation.State
+	startsHeld         bool                          // no task may start
+	relocatedAt        time.Duration                 // when long-running tasks of evacuated data centres were last looked for
 	silent             map[string]silentServer       // by server
 	unansweredStarts   map[string][]*unansweredStart // by server
 	removedServers     map[string]removedServer
--- /dev/null
+++ b/dispatch/evacuation.go
@@ -0,0 +1,70 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"example.org/comfreyrouter/evacuation"
+	"example.org/comfreyrouter/jobs"
+)
+
+// SetEvacuated sets which data centres are evacuated or returning. If held, the operators' requests aren't known well enough, and no task starts anywhere.
+func (c *Core) SetEvacuated(state evacuation.State, held bool) {
+	c.evacuation, c.startsHeld = state, held
+}
+
+// Evacuated reports whether a data centre is evacuated.
+func (c *Core) Evacuated(dataCentre string) bool { return c.evacuation.Evacuated(dataCentre) }
+
+// EvacuatedWithoutServers returns the evacuated data centres in which no server is known, once the platform's server list has been read.
+func (c *Core) EvacuatedWithoutServers() []string {
+	if !c.serverListComplete {
+		return nil
+	}
+	known := map[string]bool{}
+	for _, s := range c.servers {
+		known[s.info.DataCentre] = true
+	}
+	return slices.DeleteFunc(c.evacuation.DataCentres(), func(name string) bool { return known[name] })
+}
+
+// withheld reports whether a server gets no new work because its data centre is evacuated or returning.
+func (c *Core) withheld(s *server) bool {
+	return c.evacuation.Withheld(s.info.DataCentre, s.info.ID, jobs.Milliseconds(s.info.WarmUpMS), c.now)
+}
+
+// relocationInterval is the minimum time between two looks for long-running tasks to relocate. They are stopped one after another, and each takes about a
+// second to serve again.
+const relocationInterval = 100 * time.Millisecond
+
+// RelocateEvacuated stops long-running tasks in evacuated data centres for which there is a place elsewhere, so that they start there, as far as the miss
+// budgets of their steps allow. Gangs stay, because all of their members would end.
+func (c *Core) RelocateEvacuated() {
+	if c.startsHeld || len(c.evacuation.DataCentres()) == 0 || c.now < c.relocatedAt+relocationInterval {
+		return
+	}
+	c.relocatedAt = c.now
+	for _, s := range c.servers {
+		if !c.Evacuated(s.info.DataCentre) || !s.listed || !s.reconciled || s.storedEnd < s.lastEnd {
+			continue
+		}
+		for _, r := range s.runs {
+			st := r.task.step
+			if st.spec.LongRunning && !st.spec.Gang && r.state == runActive && c.mayInterruptOne(r) && c.hasPlace(r.task) {
+				c.count("task_relocated")
+				c.stop(r)
+			}
+		}
+	}
+}
+
+// hasPlace reports whether a schedulable server has a place for a task.
+func (c *Core) hasPlace(t *task) bool {
+	service := c.serviceOf(t.step.occurrence.job)
+	for _, s := range c.servers {
+		if s.info.Service == service && c.schedulable(s) && t.step.spec.Allocation().Fits(s.info.Capacity.Sub(s.used)) && c.permitted(t, s) && t.step.remainingPlaces(s) > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -28,6 +28,9 @@
 // serverPools returns the schedulable servers of each service that has waiting jobs.
 func (c *Core) serverPools(waiting map[string][]candidate) map[string]*serverPool {
 	pools := map[string]*serverPool{}
+	if c.startsHeld {
+		return pools
+	}
 	for _, s := range c.servers {
 		service := s.info.Service
 		if len(waiting[service]) == 0 || !c.schedulable(s) {
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -159,6 +159,7 @@
 	switch result {
 	case jobs.StartNoCapacity:
 		r.server.backoffUntil = max(r.server.backoffUntil, c.now+failureDelay)
+	case jobs.StartEvacuated, jobs.StartViewOutdated: // it wasn't sent
 	case jobs.StartNoTicket:
 		c.invalidateTicket(r.task.step, r.server.info.ID) // not a failure of the server
 	case jobs.StartRestarted:
@@ -166,7 +167,7 @@
 	default:
 		c.countServerFailure(r.server)
 	}
-	if result != jobs.StartNoTicket {
+	if result != jobs.StartNoTicket && result != jobs.StartEvacuated && result != jobs.StartViewOutdated {
 		r.task.avoidServer = r.server.info.ID
 	}
 	c.removeRun(r)
@@ -175,6 +176,7 @@
 var refusalNames = map[jobs.StartResult]string{
 	jobs.StartNoCapacity: "room", jobs.StartFenced: "fenced", jobs.StartSuperseded: "old", jobs.StartLeaseExpired: "late",
 	jobs.StartUnhealthy: "unhealthy", jobs.StartInvalid: "invalid", jobs.StartNoTicket: "ticket", jobs.StartRestarted: "restarted",
+	jobs.StartEvacuated: "evacuated", jobs.StartViewOutdated: "view_outdated",
 }
 
 // StopAnswered handles the answer to a stop that was sent to an incarnation of a server.
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -363,7 +363,7 @@
 // schedulable reports whether a server may get new work.
 func (c *Core) schedulable(s *server) bool {
 	return s.listed && s.info.Ready && s.recorded && s.reconciled && !s.terminated && !s.cordoned && !s.released && s.recvAt > 0 &&
-		c.now-s.recvAt < maxReportAge && c.now >= s.backoffUntil && !s.unresponsive && !c.hasOverdueStart(s)
+		c.now-s.recvAt < maxReportAge && c.now >= s.backoffUntil && !s.unresponsive && !c.hasOverdueStart(s) && !c.withheld(s)
 }
 
 // hasOverdueStart reports whether a start on a server is overdue, as on a server that has just failed.
