--- a/autoscale/autoscale.go
+++ b/autoscale/autoscale.go
@@ -58,6 +58,7 @@
 	// DataCentre is the machine's location. Unreachable says that its server doesn't answer: it adds no capacity, and moving it would add none.
 	DataCentre  string
 	Unreachable bool
+	Evacuated   bool // operators have evacuated its data centre: it adds no capacity, and must not be moved to a pool
 }
 
 // A data centre counts as cut off if more than cutOffShare of its servers, and at least cutOffMinServers of them, are unreachable. Machines of the
@@ -201,7 +202,7 @@
 	}
 	cutOff := cutOffDataCentres(machines, spare)
 	for _, m := range machines {
-		if m.Unreachable || cutOff[m.DataCentre] {
+		if m.Unreachable || m.Evacuated || cutOff[m.DataCentre] {
 			continue
 		}
 		if move, ok := p.pending[m.ID]; ok {
--- a/autoscale/autoscale_test.go
+++ b/autoscale/autoscale_test.go
@@ -246,3 +246,15 @@
 	p.Plan(0, pools(20*64000, 8*64000), machines)
 	assert.Empty(t, p.Released(), "the other pool needs all its machines")
 }
+
+// TestEvacuatedMachinesAreNoCapacity guards against a pool that stays too small because machines of an evacuated data centre count, and against a move of
+// such a machine to a pool.
+func TestEvacuatedMachinesAreNoCapacity(t *testing.T) {
+	machines := append(emptyMachines("a", 4, 0), emptyMachines("spare", 4, 0)...)
+	machines[0].Evacuated, machines[1].Evacuated, machines[4].Evacuated = true, true, true
+	moves := New().Plan(0, pools(3*64000, 0), machines)
+	assert.Equal(t, 2, countMoves(moves, "spare", "a"))
+	for _, m := range moves {
+		assert.NotEqual(t, "spare0", m.Machine)
+	}
+}
--- a/upkeep/upkeep.go
+++ b/upkeep/upkeep.go
@@ -69,15 +69,19 @@
 // Planner holds the state of all waves. The planner of a new dispatcher orders again what isn't stored as started: an order for a machine that has
 // already had its upkeep has no effect.
 type Planner struct {
-	duration time.Duration   // of the upkeep of one machine
-	waves    map[int64]*wave // by number
+	duration  time.Duration   // of the upkeep of one machine
+	waves     map[int64]*wave // by number
+	evacuated func(dataCentre string) bool
 }
 
 // New returns a planner for upkeep that takes a duration on each machine.
 func New(duration time.Duration) *Planner {
-	return &Planner{duration, map[int64]*wave{}}
+	return &Planner{duration, map[int64]*wave{}, func(string) bool { return false }}
 }
 
+// SetEvacuated sets the function that says which data centres are evacuated. Their machines are no capacity that a wave has to spare, so they go first.
+func (p *Planner) SetEvacuated(evacuated func(dataCentre string) bool) { p.evacuated = evacuated }
+
 // AddWaves adds the waves that operators have requested and the planner doesn't know yet. The function stored returns the machines that are stored
 // as started for a wave.
 func (p *Planner) AddWaves(waves []jobs.Wave, stored func(number int64) []string) {
@@ -143,11 +147,11 @@
 			w.plannedAt = now
 		}
 		w.removeFinished(now, machines, p.duration)
-		candidates := w.candidates(machines, dispatcher)
+		candidates := w.candidates(machines, dispatcher, p.evacuated)
 		for {
 			orders := w.orderUpkeep(now, machines, dispatcher, maxOrders)
 			maxOrders -= len(orders)
-			cordoned := w.cordon(now, machines, &candidates)
+			cordoned := w.cordon(now, machines, &candidates, p.evacuated)
 			actions = append(append(actions, orders...), cordoned...)
 			if len(cordoned) == 0 || maxOrders <= 0 {
 				break // otherwise again, since a server that was just cordoned may already be empty
@@ -248,21 +252,23 @@
 	return ids
 }
 
-// drainAllowance returns how many further machines of each pool may be drained.
-func (w *wave) drainAllowance(now time.Duration, machines map[string]jobs.Machine) map[string]int {
+// drainAllowance returns how many further machines of each pool may be drained. Those in evacuated data centres don't count.
+func (w *wave) drainAllowance(now time.Duration, machines map[string]jobs.Machine, evacuated func(string) bool) map[string]int {
 	divisor := drainDivisor
 	if (now - w.plannedAt).Seconds() > urgentAfter*w.request.DurationS {
 		divisor = urgentDrainDivisor
 	}
 	allowance := map[string]int{}
 	for _, m := range machines {
-		allowance[m.Pool]++
+		if !evacuated(m.DataCentre) {
+			allowance[m.Pool]++
+		}
 	}
 	for pool, n := range allowance {
 		allowance[pool] = max(1, n/divisor)
 	}
 	for id, state := range w.inProgress {
-		if !state.ordered {
+		if !state.ordered && !evacuated(machines[id].DataCentre) {
 			allowance[machines[id].Pool]--
 		}
 	}
@@ -273,38 +279,51 @@
 type candidate struct {
 	jobs.Machine
 	shortTasks, longRunning int
+	evacuated               bool
 }
 
-// candidates returns the machines to drain, in order: the least busy first, and among equals those with the most long-running tasks first. The
+// candidates returns the machines to drain, in order: those in evacuated data centres first, then the least busy first, and among equals those with the most long-running tasks first. The
 // budgets of long-running tasks let only a few of these machines go down at a time, and the wave ends with the last of them.
-func (w *wave) candidates(machines map[string]jobs.Machine, dispatcher Dispatcher) []candidate {
+func (w *wave) candidates(machines map[string]jobs.Machine, dispatcher Dispatcher, evacuated func(string) bool) []candidate {
 	var candidates []candidate
 	for _, id := range w.request.Machines {
 		if m := machines[id]; m.Up && !w.started[id] && w.inProgress[id] == nil {
-			candidates = append(candidates, candidate{m, dispatcher.ShortTaskCount(m.Server), dispatcher.LongRunningTaskCount(m.Server)})
+			candidates = append(candidates, candidate{m, dispatcher.ShortTaskCount(m.Server), dispatcher.LongRunningTaskCount(m.Server), evacuated(m.DataCentre)})
 		}
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.shortTasks, b.shortTasks), cmp.Compare(b.longRunning, a.longRunning), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(compareBool(b.evacuated, a.evacuated), cmp.Compare(a.shortTasks, b.shortTasks), cmp.Compare(b.longRunning, a.longRunning), cmp.Compare(a.ID, b.ID))
 	})
 	return candidates
 }
 
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // cordon begins to drain candidates, as many of each pool as may be drained, and keeps the others as candidates.
-func (w *wave) cordon(now time.Duration, machines map[string]jobs.Machine, candidates *[]candidate) []Action {
+func (w *wave) cordon(now time.Duration, machines map[string]jobs.Machine, candidates *[]candidate, evacuated func(string) bool) []Action {
 	if len(*candidates) == 0 {
 		return nil
 	}
-	allowance := w.drainAllowance(now, machines)
+	allowance := w.drainAllowance(now, machines, evacuated)
 	var actions []Action
 	var rest []candidate
 	defer func() { *candidates = rest }()
 	for _, m := range *candidates {
-		if allowance[m.Pool] <= 0 {
+		if !m.evacuated && allowance[m.Pool] <= 0 {
 			rest = append(rest, m)
 			continue
 		}
-		allowance[m.Pool]--
+		if !m.evacuated {
+			allowance[m.Pool]--
+		}
 		w.inProgress[m.ID] = &machineState{cordonedAt: now}
 		actions = append(actions, Action{Wave: w.request.Number, Machine: m.ID, Server: m.Server, Cordon: true})
 	}
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -182,3 +182,26 @@
 	p.AddWaves(requestWave(2, 2), func(int64) []string { return []string{"m0"} })
 	assert.Equal(t, []string{"m1"}, orders(p, 0, machines(2), &fakeDispatcher{}))
 }
+
+// TestEvacuatedMachinesGoFirst guards against a wave that takes capacity from a pool while machines of an evacuated data centre, which have none, wait.
+func TestEvacuatedMachinesGoFirst(t *testing.T) {
+	p := New(2 * time.Second)
+	p.AddWaves(requestWave(24, 24), noneStored)
+	p.SetEvacuated(func(dataCentre string) bool { return dataCentre == "z" })
+	all := machines(24)
+	busy := map[string]int{}
+	for i := range all {
+		busy[all[i].Server] = 1
+		if i >= 12 {
+			all[i].DataCentre = "z"
+		}
+	}
+	cordoned := map[string]int{}
+	for _, a := range p.Plan(time.Second, all, &fakeDispatcher{shortTasks: busy}, 12) {
+		if a.Cordon {
+			cordoned[all[slices.IndexFunc(all, func(m jobs.Machine) bool { return m.ID == a.Machine })].DataCentre]++
+		}
+	}
+	assert.Equal(t, 12, cordoned["z"])
+	assert.Equal(t, 3, cordoned[""], "one of each pool")
+}
