Follow the operators' requests to evacuate data centres

Change: each node follows the requests, the dispatcher schedules by them, and each node checks its own view once more when it sends a start. With the bound evacuate, no task starts on a view that may hide a request that is due.

--- a/events/events.go
+++ b/events/events.go
@@ -50,6 +50,11 @@
 	ProcessorUse         = Event{7020, zerolog.InfoLevel, "processor time of the dispatcher's process since the last line", []string{"interval_ms", "process_ms", "gc_ms", "passes", "pass_ms", "longest_pass_ms"}, "if process_ms comes near interval_ms times the processors of the VM, see docs/OPERATIONS.md"}
 	UpkeepOrdered        = Event{7102, zerolog.InfoLevel, "upkeep of a machine ordered", []string{"machine", "server", "wave", "answer"}, "nothing"}
 	MoveOrdered          = Event{7103, zerolog.InfoLevel, "move of a machine ordered", []string{"machine", "server", "from", "to", "answer"}, "nothing"}
+	EvacuationRequested  = Event{7201, zerolog.InfoLevel, "a data centre is evacuated: no task starts there", []string{"data_centre"}, "nothing"}
+	EvacuationWithdrawn  = Event{7202, zerolog.InfoLevel, "a data centre was taken back; its servers get work again by degrees", []string{"data_centre"}, "nothing"}
+	EvacuationUnknown    = Event{7203, zerolog.WarnLevel, "a data centre without backend servers is evacuated", []string{"data_centre"}, "check the name of the record; it has no effect"}
+	StartsHeld           = Event{7204, zerolog.WarnLevel, "no task starts, because a request to evacuate a data centre may not have been read", []string{"view_age_s"}, "see docs/OPERATIONS.md, what a lost dependency looks like"}
+	StartsResumed        = Event{7205, zerolog.InfoLevel, "tasks start again: the operators' records have been read", nil, "nothing"}
 	WaveComplete         = Event{7104, zerolog.InfoLevel, "all machines of a wave have begun their upkeep", []string{"wave"}, "nothing"}
 	SnapshotWritten      = Event{2003, zerolog.InfoLevel, "snapshot written to the log", []string{"offset"}, "nothing"}
 	SnapshotRestored     = Event{2004, zerolog.InfoLevel, "state restored from a snapshot", []string{"offset"}, "nothing"}
@@ -87,6 +92,7 @@
 		DispatcherClaimed, DispatcherStarted, DispatcherStopped, DispatcherFenced, OrderFenced, StartRefused, ServerProblem, DispatchState, DispatcherHandedOver, JobStored, CallRefused, JobEnded,
 		DependencyLost, DependencyBack, EntryUnreadable, RelayFailed, CallPanicked, ServiceLoad, ProcessorUse,
 		UpkeepOrdered, MoveOrdered, WaveComplete,
+		EvacuationRequested, EvacuationWithdrawn, EvacuationUnknown, StartsHeld, StartsResumed,
 	}
 }
 
--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -64,6 +64,7 @@
 	puts      []pendingPut             // records of other nodes that wait for the next append
 	// putsClosed says that no more records of other nodes are accepted.
 	putsClosed bool
+	held       bool  // starts are held, because the operators' requests aren't known well enough
 	sequence   int64 // number of the last append in this epoch
 	appends    dependencyLog
 	fenced     atomic.Bool   // another node holds the role, or the sequence of appends is broken
@@ -119,6 +120,7 @@
 	d.core = dispatch.New(dispatch.Params{
 		Epoch: d.role.Epoch, Lease: min(runLease, bounds.MaxLease), MaxLease: bounds.MaxLease, PredecessorsUntil: d.predecessors.ordersUntil(d.follower), EarlyStart: bounds.EarlyStart,
 	}, d.follower.ledger, config, boottime.Now(), time.Now().UnixMilli())
+	d.setEvacuated(d.core)
 	d.follower.changes = nil
 	events.Log(d.log, events.DispatcherStarted, d.role.Epoch, len(d.follower.ledger.Jobs))
 	return true
@@ -226,6 +228,8 @@
 			d.config = config
 			c.SetConfiguration(config)
 		}
+		d.setEvacuated(c)
+		c.RelocateEvacuated()
 		c.Schedule()
 	})
 }
@@ -311,9 +315,13 @@
 		d.removeExpired()
 		var n dispatch.Counts
 		var loads map[string]loadshed.ServiceLoad
-		d.update(func(c *dispatch.Core) { n, loads = c.Counts(), c.ServiceLoads() })
+		var unknown []string
+		d.update(func(c *dispatch.Core) { n, loads, unknown = c.Counts(), c.ServiceLoads(), c.EvacuatedWithoutServers() })
 		counts := d.flushEventCounts()
 		events.Log(d.log, events.DispatchState, n.LongRunning, n.Started, n.OnTime, n.OverShare, n.Late, n.Runs, n.Servers, counts)
+		for _, name := range unknown {
+			events.Log(d.log, events.EvacuationUnknown, name)
+		}
 		for _, name := range slices.Sorted(maps.Keys(loads)) {
 			s := loads[name]
 			events.Log(d.log, events.ServiceLoad, name, s.Servers, s.FreeServers, s.ArrivingServers, s.Backlog.Seconds(), s.LateBacklog.Seconds())
--- /dev/null
+++ b/jobnode/evacuations_test.go
@@ -0,0 +1,87 @@
+package jobnode
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"example.org/comfreyrouter/evacuation"
+	"example.org/comfreyrouter/internal/boottime"
+	"example.org/comfreyrouter/jobs"
+	"example.org/comfreyrouter/platform"
+	"example.org/comfreyrouter/relay"
+)
+
+// TestEvacuatedDataCentreGetsNoStart guards against starts in an evacuated data centre, with a relay or without, by a dispatcher or its successor, and
+// against jobs that stay behind after it is taken back.
+func TestEvacuatedDataCentreGetsNoStart(t *testing.T) {
+	for name, relayed := range map[string]bool{"direct": false, "relayed": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t, 2)
+			f.relayed = relayed
+			first, second := f.startNode("a"), f.startNode("b")
+			key := platform.KeyEvacuationPrefix + "z"
+			f.store.Put(platform.TopicOperators, key, []byte("{}"))
+			time.Sleep(500 * time.Millisecond) // far below any agreed bound
+			require.Equal(t, http.StatusOK, second.status(http.MethodPost, "/q/"+jobID, testKey, twoSteps))
+			first.stop()
+			time.Sleep(3 * time.Second) // a successor dispatches
+			assert.Empty(t, f.starts())
+			f.store.Put(platform.TopicOperators, key, nil)
+			require.Eventually(t, func() bool { return second.phase(jobID) == `{"phase":"complete"}` }, waitTimeout, pollInterval)
+		})
+	}
+}
+
+// countingServers is a ServerClient that counts starts.
+type countingServers struct {
+	relay.ServerClient
+	starts int
+}
+
+func (s *countingServers) Start(context.Context, jobs.Server, jobs.Order) jobs.StartResult {
+	s.starts++
+	return jobs.Started
+}
+
+// TestEachNodeChecksItsOwnView guards against a start that a node sends although it has read of an evacuation, or although it hasn't read for so long that
+// it may have missed one, whoever has decided the start and however long ago.
+func TestEachNodeChecksItsOwnView(t *testing.T) {
+	o := newOperatorFollower(nil, Bounds{RevokeWithin: time.Second, Evacuate: 5 * time.Second}, zerolog.Nop())
+	servers := &countingServers{}
+	guard := startGuard{servers, o}
+	start := func(dataCentre string) jobs.StartResult {
+		return guard.Start(t.Context(), jobs.Server{DataCentre: dataCentre}, jobs.Order{})
+	}
+	assert.Equal(t, jobs.StartViewOutdated, start("z"), "it has never read")
+	request := platform.Record{Key: platform.KeyEvacuationPrefix + "z", Value: []byte("not read")}
+	o.applyRecords([]platform.Record{request, {Key: platform.KeyEvacuationPrefix, Value: []byte("{}")}}, boottime.Now())
+	assert.Equal(t, jobs.StartEvacuated, start("z"))
+	assert.Equal(t, jobs.Started, start("y"))
+	o.applyRecords(nil, boottime.Now()-4*time.Second)
+	assert.Equal(t, jobs.StartViewOutdated, start("y"))
+	assert.Equal(t, 1, servers.starts)
+}
+
+// TestWithdrawalsThatWereNotReadCount guards against a data centre that stays evacuated after the store has lost its history, and one that is taken back
+// because of a record that replays.
+func TestWithdrawalsThatWereNotReadCount(t *testing.T) {
+	o := newOperatorFollower(nil, Bounds{RevokeWithin: time.Second}, zerolog.Nop())
+	record := func(name, value string) platform.Record {
+		return platform.Record{Key: platform.KeyEvacuationPrefix + name, Value: []byte(value)}
+	}
+	o.applyRecords([]platform.Record{record("a", "{}"), record("b", "{}"), record("c", "{}"), record("c", "")}, 0)
+	assert.Equal(t, []string{"a", "b"}, o.evacuationView().State.DataCentres())
+	newest := []platform.Record{record("b", "{}"), record("d", "{}")}
+	o.replaceEvacuations(newest)
+	o.applyRecords(newest, 0)
+	state := o.evacuationView().State
+	assert.Equal(t, []string{"b", "d"}, state.DataCentres())
+	assert.Equal(t, state, state.Withdraw("a", time.Hour))
+	assert.Equal(t, evacuation.MayStart, o.evacuate.Decide(o.evacuationView(), "a", time.Hour), "no bound is configured")
+}
--- a/jobnode/follower_test.go
+++ b/jobnode/follower_test.go
@@ -51,7 +51,7 @@
 func newTestElector(t *testing.T, dispatcher ledger.Dispatcher) (*elector, *follower) {
 	t.Helper()
 	f := newFollower(nil, zerolog.Nop())
-	o := newOperatorFollower(nil, time.Second, zerolog.Nop())
+	o := newOperatorFollower(nil, Bounds{RevokeWithin: time.Second}, zerolog.Nop())
 	o.config = &jobs.Configuration{}
 	e := &elector{node: "b", incarnation: "b/2", follower: f, operators: o, presence: &presence{}}
 	records := []ledger.Record{ledger.NodeRecord("b", ledger.Node{Incarnation: "b/2", Start: 2}), ledger.DispatcherRecord(dispatcher)}
@@ -154,7 +154,7 @@
 	d.renewedAt = boottime.Now() - roleLease - orderGrace
 	assert.False(t, d.canSendOrders())
 	f := newFollower(nil, zerolog.Nop())
-	o := newOperatorFollower(nil, time.Second, zerolog.Nop())
+	o := newOperatorFollower(nil, Bounds{RevokeWithin: time.Second}, zerolog.Nop())
 	o.config = &jobs.Configuration{}
 	claimed := boottime.Now() - time.Minute
 	var got time.Duration
--- a/jobnode/machines.go
+++ b/jobnode/machines.go
@@ -58,7 +58,7 @@
 	upkeepPlanner   *upkeep.Planner
 	autoscaler      *autoscale.Planner
 	unansweredMoves map[string]autoscale.Move // by machine
-	reportedWaves   map[int64]string          // state of each wave that was last reported to operators
+	reportedWaves   map[int64]jobs.Phase      // state of each wave that was last reported to operators
 	terminating     map[string]termination    // servers whose machine has an accepted order, until the list shows whether it took effect; by machine
 	listDuration    time.Duration             // of the last read of the machine list
 	reads           dependencyLog
@@ -77,7 +77,7 @@
 	mc := &machineController{
 		dispatcher: d, upkeepPlanner: upkeep.New(d.node.settings.Bounds.UpkeepDuration), autoscaler: autoscale.New(),
 		reads: dependencyLog{name: "list of machines", log: d.log}, unansweredMoves: map[string]autoscale.Move{},
-		firstListed: map[string]listing{}, reportedWaves: map[int64]string{}, terminating: map[string]termination{},
+		firstListed: map[string]listing{}, reportedWaves: map[int64]jobs.Phase{}, terminating: map[string]termination{},
 	}
 	for ctx.Err() == nil && !mc.fenced {
 		mc.upkeepPlanner.AddWaves(d.operators.allWaves(), mc.storedWave)
@@ -201,6 +201,7 @@
 	budget := mc.orderBudget() - len(orders) - len(moves)
 	mc.update(func(c *dispatch.Core) {
 		c.SetUpkeepDue(mc.upkeepPlanner.DueServers(machines))
+		mc.upkeepPlanner.SetEvacuated(c.Evacuated)
 		planned := mc.planMoves(c, machines, servers, moveBudget(budget, mc.upkeepPlanner.HasOpenWaves()))
 		moves = append(moves, planned...)
 		orders = append(orders, mc.planUpkeep(c, machines, budget-len(planned))...)
@@ -377,7 +378,7 @@
 		_, terminating := mc.terminating[m.ID]
 		out = append(out, autoscale.Machine{
 			ID: m.ID, Pool: m.Pool, Up: m.Up, Capacity: m.Capacity, Empty: empty, IdleFor: idle, Locked: unanswered || terminating || mc.upkeepPlanner.InProgress(m.ID) || !mc.handoverElapsed(m.ID, now),
-			Tasks: c.ShortTaskCount(m.Server), LongRunning: c.LongRunningTaskCount(m.Server) > 0, DataCentre: m.DataCentre, Unreachable: m.Up && !config.Services[m.Pool].Spare && mc.unreachable(c, m),
+			Tasks: c.ShortTaskCount(m.Server), LongRunning: c.LongRunningTaskCount(m.Server) > 0, DataCentre: m.DataCentre, Evacuated: c.Evacuated(m.DataCentre), Unreachable: m.Up && !config.Services[m.Pool].Spare && mc.unreachable(c, m),
 		})
 	}
 	return out
@@ -449,14 +450,14 @@
 		complete[n] = true
 	}
 	for _, w := range mc.operators.allWaves() {
-		state := string(jobs.Running)
+		state := jobs.Running
 		if complete[w.Number] {
-			state = string(jobs.Complete)
+			state = jobs.Complete
 		}
 		if mc.reportedWaves[w.Number] == state {
 			continue
 		}
-		record := platform.Record{Key: platform.KeyWavePrefix + strconv.FormatInt(w.Number, 10), Value: platform.EncodeWaveStatus(complete[w.Number])}
+		record := platform.Record{Key: platform.KeyWavePrefix + strconv.FormatInt(w.Number, 10), Value: platform.EncodePhase(state)}
 		if _, err := mc.store.Append(ctx, platform.TopicStatus, []platform.Record{record}, nil); err != nil {
 			events.Log(mc.log, events.DependencyLost, "status of waves", err)
 			continue
--- a/jobnode/node.go
+++ b/jobnode/node.go
@@ -45,7 +45,7 @@
 	log             zerolog.Logger
 	incarnation     string // of this process; includes the node's name, because machines that start together may draw equal random numbers
 	store           *platform.StoreClient
-	servers         *platform.ServerClient
+	servers         relay.ServerClient
 	machines        *platform.MachineClient
 	policies        *platform.PolicyClient
 	operators       *operatorFollower
@@ -71,10 +71,11 @@
 	s, log := o.Settings, o.Logger
 	store := platform.NewStoreClient(s.StoreAddress.String())
 	n := &Node{
-		settings: s, log: log, incarnation: s.Name + "/" + ulid.Make().String(), store: store, servers: platform.NewServerClient(),
-		operators: newOperatorFollower(store, s.Bounds.RevokeWithin, log), follower: newFollower(store, log),
+		settings: s, log: log, incarnation: s.Name + "/" + ulid.Make().String(), store: store,
+		operators: newOperatorFollower(store, s.Bounds, log), follower: newFollower(store, log),
 		metrics: newMetrics(), admission: &AdmissionService{log: log},
 	}
+	n.servers = startGuard{platform.NewServerClient(), n.operators}
 	n.admissionClient = &admissionClient{admission: n.admission, follower: n.follower, directNodes: s.DirectNodes, log: log}
 	n.writer = newWriter(store, n.admissionClient.put, log)
 	n.presence = newPresence(s, n.incarnation, n.follower, store, log)
--- a/jobnode/operators.go
+++ b/jobnode/operators.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"example.org/comfreyrouter/evacuation"
 	"example.org/comfreyrouter/events"
 	"example.org/comfreyrouter/internal/boottime"
 	"example.org/comfreyrouter/jobs"
@@ -25,23 +26,25 @@
 	revokeMargin = 1500 * time.Millisecond
 )
 
-// operatorFollower follows what operators publish: the configuration and the waves.
+// operatorFollower follows what operators publish: the configuration, the waves and the requests to evacuate data centres.
 type operatorFollower struct {
 	store        *platform.StoreClient
 	log          zerolog.Logger
 	revokeWithin time.Duration
+	evacuate     evacuation.Bound
 	reads        dependencyLog
 
 	mu          sync.RWMutex
 	config      *jobs.Configuration
 	keys        map[string]string // workspace by key
 	waves       map[string]jobs.Wave
+	evacuation  evacuation.State
 	confirmedAt time.Duration // start of the last read that succeeded
 	changed     chan struct{} // closed and replaced when new records are read
 }
 
-func newOperatorFollower(store *platform.StoreClient, revokeWithin time.Duration, log zerolog.Logger) *operatorFollower {
-	return &operatorFollower{store: store, revokeWithin: revokeWithin, log: log, reads: dependencyLog{name: "operators' records", log: log}, waves: map[string]jobs.Wave{}, changed: make(chan struct{})}
+func newOperatorFollower(store *platform.StoreClient, bounds Bounds, log zerolog.Logger) *operatorFollower {
+	return &operatorFollower{store: store, revokeWithin: bounds.RevokeWithin, evacuate: evacuation.Bound(bounds.Evacuate), log: log, reads: dependencyLog{name: "operators' records", log: log}, waves: map[string]jobs.Wave{}, changed: make(chan struct{})}
 }
 
 // Run follows the operators' topic until ctx ends.
@@ -59,6 +62,9 @@
 			sleep(ctx, storeRetryDelay)
 			continue
 		}
+		if from < 0 {
+			o.replaceEvacuations(records)
+		}
 		from = next
 		o.applyRecords(records, sent)
 	}
@@ -74,7 +80,7 @@
 		}
 		return records, next, nil
 	}
-	page, err := o.store.Read(ctx, platform.TopicOperators, from, operatorReadWait, platform.MaxPageKB)
+	page, err := o.store.Read(ctx, platform.TopicOperators, from, o.evacuate.ReadWait(operatorReadWait), platform.MaxPageKB)
 	if err != nil {
 		return nil, from, err
 	}
@@ -90,6 +96,8 @@
 			o.applyConfiguration(r.Value)
 		case strings.HasPrefix(r.Key, platform.KeyWavePrefix):
 			o.applyWave(r)
+		case strings.HasPrefix(r.Key, platform.KeyEvacuationPrefix):
+			o.applyEvacuation(r)
 		}
 	}
 	o.confirmedAt = sent
--- a/jobnode/settings.go
+++ b/jobnode/settings.go
@@ -39,6 +39,7 @@
 	HandoverInterval  time.Duration `yaml:"order_turn"`    // minimum time between orders of two dispatchers for one machine
 	UpkeepDuration    time.Duration `yaml:"upkeep"`        // duration of a machine's upkeep
 	FinishedRetention time.Duration `yaml:"keep_finished"` // how long the end of a job is kept
+	Evacuate          time.Duration `yaml:"evacuate"`      // from then on nothing starts in an evacuated data centre; optional
 }
 
 // DefaultSettings returns the defaults of the optional settings, with the usual bounds of the platform.
@@ -79,6 +80,9 @@
 			add("bounds."+field, "must be above 0")
 		}
 	}
+	if s.Bounds.Evacuate < 0 {
+		add("bounds.evacuate", "must not be below 0")
+	}
 	for field, n := range map[string]int{"direct_servers": s.DirectServers, "direct_nodes": s.DirectNodes, "memory_mb": s.MemoryMB} {
 		if n < 0 {
 			add(field, "must not be below 0")
--- a/jobnode/template_test.go
+++ b/jobnode/template_test.go
@@ -21,7 +21,7 @@
 		"node_name|json": `"edge-1"`, "zone|json": `"z"`, "bind_addrs.frontend": "10.1.0.23:8340", "bind_addrs.readiness": "10.1.0.23:8343",
 		"platform.address": "10.200.1.7:8344", "cloud_api.address": "10.200.0.82:8344", "limits.cpu_share": "0.4", "limits.memory_mb": "284", "bounds.revoke_ms": "5000",
 		"bounds.hold_max_ms": "6000", "bounds.grace_s": "6", "bounds.early_ms": "250", "bounds.lease_ms": "3000", "bounds.notice_ms": "4500",
-		"bounds.maintenance_s": "2", "bounds.migrate_s": "1.5", "cloud_api.duty_per_s": "64.0",
+		"bounds.maintenance_s": "2", "bounds.migrate_s": "1.5", "bounds.evacuate_ms": "5000", "cloud_api.duty_per_s": "64.0",
 		"ip": "10.1.0.23", "internal_ports.0": "7000", "recommendation": "10.200.1.9:8344",
 	}
 	rendered := regexp.MustCompile(`\{\{[^}]*\}\}`).ReplaceAllStringFunc(string(text), func(placeholder string) string {
@@ -43,6 +43,7 @@
 	assert.Equal(t, "10.200.1.9:8344", s.PolicyAddress.String())
 	assert.Equal(t, "10.1.0.23:7000", s.PeerAddress.String())
 	assert.Equal(t, 6*time.Second, s.Bounds.MaxLease)
+	assert.Equal(t, 5*time.Second, s.Bounds.Evacuate)
 	assert.Equal(t, 2*time.Second, s.Bounds.UpkeepDuration)
 	assert.Equal(t, "10.200.0.82:8344", s.MachinesAddress.String())
 }
