--- a/dispatch/evacuation.go
+++ b/dispatch/evacuation.go
@@ -8,13 +8,20 @@
 	"example.org/comfreyrouter/jobs"
 )
 
+// evacuations is what the dispatcher knows of operators' requests to evacuate data centres.
+type evacuations struct {
+	state       evacuation.State
+	held        bool          // the requests aren't known well enough, so no task may start
+	relocatedAt time.Duration // when long-running tasks of evacuated data centres were last looked for
+}
+
 // SetEvacuated sets which data centres are evacuated or returning. If held, the operators' requests aren't known well enough, and no task starts anywhere.
 func (c *Core) SetEvacuated(state evacuation.State, held bool) {
-	c.evacuation, c.startsHeld = state, held
+	c.evacuation.state, c.evacuation.held = state, held
 }
 
 // Evacuated reports whether a data centre is evacuated.
-func (c *Core) Evacuated(dataCentre string) bool { return c.evacuation.Evacuated(dataCentre) }
+func (c *Core) Evacuated(dataCentre string) bool { return c.evacuation.state.Evacuated(dataCentre) }
 
 // EvacuatedWithoutServers returns the evacuated data centres in which no server is known, once the platform's server list has been read.
 func (c *Core) EvacuatedWithoutServers() []string {
@@ -25,12 +32,12 @@
 	for _, s := range c.servers {
 		known[s.info.DataCentre] = true
 	}
-	return slices.DeleteFunc(c.evacuation.DataCentres(), func(name string) bool { return known[name] })
+	return slices.DeleteFunc(c.evacuation.state.DataCentres(), func(name string) bool { return known[name] })
 }
 
 // withheld reports whether a server gets no new work because its data centre is evacuated or returning.
 func (c *Core) withheld(s *server) bool {
-	return c.evacuation.Withheld(s.info.DataCentre, s.info.ID, jobs.Milliseconds(s.info.WarmUpMS), c.now)
+	return c.evacuation.state.Withheld(s.info.DataCentre, s.info.ID, jobs.Milliseconds(s.info.WarmUpMS), c.now)
 }
 
 // relocationInterval is the minimum time between two looks for long-running tasks to relocate. They are stopped one after another, and each takes about a
@@ -40,10 +47,10 @@
 // RelocateEvacuated stops long-running tasks in evacuated data centres for which there is a place elsewhere, so that they start there, as far as the miss
 // budgets of their steps allow. Gangs stay, because all of their members would end.
 func (c *Core) RelocateEvacuated() {
-	if c.startsHeld || len(c.evacuation.DataCentres()) == 0 || c.now < c.relocatedAt+relocationInterval {
+	if c.evacuation.held || len(c.evacuation.state.DataCentres()) == 0 || c.now < c.evacuation.relocatedAt+relocationInterval {
 		return
 	}
-	c.relocatedAt = c.now
+	c.evacuation.relocatedAt = c.now
 	for _, s := range c.servers {
 		if !c.Evacuated(s.info.DataCentre) || !s.listed || !s.reconciled || s.storedEnd < s.lastEnd {
 			continue
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -28,7 +28,7 @@
 // serverPools returns the schedulable servers of each service that has waiting jobs.
 func (c *Core) serverPools(waiting map[string][]candidate) map[string]*serverPool {
 	pools := map[string]*serverPool{}
-	if c.startsHeld {
+	if c.evacuation.held {
 		return pools
 	}
 	for _, s := range c.servers {
--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -119,6 +119,7 @@
 	d.predecessors = newPredecessors(d.role.Predecessors, d.claimedAt)
 	d.core = dispatch.New(dispatch.Params{
 		Epoch: d.role.Epoch, Lease: min(runLease, bounds.MaxLease), MaxLease: bounds.MaxLease, PredecessorsUntil: d.predecessors.ordersUntil(d.follower), EarlyStart: bounds.EarlyStart,
+		Interference: interferenceModes[d.node.settings.Interference],
 	}, d.follower.ledger, config, boottime.Now(), time.Now().UnixMilli())
 	d.setEvacuated(d.core)
 	d.follower.changes = nil
@@ -317,6 +318,7 @@
 		var loads map[string]loadshed.ServiceLoad
 		var unknown []string
 		d.update(func(c *dispatch.Core) { n, loads, unknown = c.Counts(), c.ServiceLoads(), c.EvacuatedWithoutServers() })
+		d.reportInterference()
 		counts := d.flushEventCounts()
 		events.Log(d.log, events.DispatchState, n.LongRunning, n.Started, n.OnTime, n.OverShare, n.Late, n.Runs, n.Servers, counts)
 		for _, name := range unknown {
