Count no machines that arrive in an evacuated data centre

A move that was under way when the request came stayed pending for the whole evacuation, so admission counted its machine as about to arrive.

--- a/autoscale/autoscale.go
+++ b/autoscale/autoscale.go
@@ -202,7 +202,11 @@
 	}
 	cutOff := cutOffDataCentres(machines, spare)
 	for _, m := range machines {
-		if m.Unreachable || m.Evacuated || cutOff[m.DataCentre] {
+		if m.Evacuated {
+			delete(p.pending, m.ID) // it doesn't arrive as capacity
+			continue
+		}
+		if m.Unreachable || cutOff[m.DataCentre] {
 			continue
 		}
 		if move, ok := p.pending[m.ID]; ok {
--- a/autoscale/autoscale_test.go
+++ b/autoscale/autoscale_test.go
@@ -257,4 +257,12 @@
 	for _, m := range moves {
 		assert.NotEqual(t, "spare0", m.Machine)
 	}
+	p := New()
+	p.Plan(0, pools(7*64000, 0), machines)
+	assert.Equal(t, 3, p.Arrivals(0)["a"].Machines)
+	for i := range machines {
+		machines[i].Evacuated = true
+	}
+	p.Plan(0, pools(7*64000, 0), machines)
+	assert.Empty(t, p.Arrivals(0), "requested while machines are on their way")
 }
