Let operators see evacuations and what one would leave

comfreyctl evacuations lists the evacuated data centres, what runs there and the machines that each service has left; -dry-run counts further ones.

--- a/dispatch/evacuation.go
+++ b/dispatch/evacuation.go
@@ -75,3 +75,15 @@
 	}
 	return false
 }
+
+// TasksIn returns the number of servers that are known in a data centre, and of the tasks there.
+func (c *Core) TasksIn(dataCentre string) (servers, shortTasks, longRunning int) {
+	for id, s := range c.servers {
+		if s.info.DataCentre == dataCentre {
+			servers++
+			shortTasks += c.ShortTaskCount(id)
+			longRunning += c.LongRunningTaskCount(id)
+		}
+	}
+	return servers, shortTasks, longRunning
+}
--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -69,6 +69,8 @@
 	appends    dependencyLog
 	fenced     atomic.Bool   // another node holds the role, or the sequence of appends is broken
 	wake       chan struct{} // wakes the scheduler
+	// machineList is the platform's list of machines as it was last read, nil before.
+	machineList atomic.Pointer[[]jobs.Machine]
 }
 
 // runDispatcher dispatches until the role is lost or ctx ends. The role lease counts from the claim, because the node may have been suspended
--- a/jobnode/evacuations_test.go
+++ b/jobnode/evacuations_test.go
@@ -10,9 +10,11 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"example.org/comfreyrouter/dispatch"
 	"example.org/comfreyrouter/evacuation"
 	"example.org/comfreyrouter/internal/boottime"
 	"example.org/comfreyrouter/jobs"
+	"example.org/comfreyrouter/operatorapi"
 	"example.org/comfreyrouter/platform"
 	"example.org/comfreyrouter/relay"
 )
@@ -85,3 +87,21 @@
 	assert.Equal(t, state, state.Withdraw("a", time.Hour))
 	assert.Equal(t, evacuation.MayStart, o.evacuate.Decide(o.evacuationView(), "a", time.Hour), "no bound is configured")
 }
+
+// TestOperatorsSeeWhatAnEvacuationLeaves guards against an answer that hides a data centre, or machines that stay, and against a dry run that changes anything.
+func TestOperatorsSeeWhatAnEvacuationLeaves(t *testing.T) {
+	f := newTestFleet(t, 2)
+	n := f.startNode("a")
+	f.store.Put(platform.TopicOperators, platform.KeyEvacuationPrefix+"y", []byte("{}"))
+	var seen operatorapi.Evacuations
+	require.Eventually(t, func() bool {
+		return n.query(t, "evacuations", testToken, &seen) == http.StatusOK && len(seen.DataCentres) == 1
+	}, waitTimeout, pollInterval)
+	assert.Equal(t, operatorapi.EvacuatedDataCentre{Name: "y", InForce: true}, seen.DataCentres[0], "without servers")
+	config := &jobs.Configuration{Services: map[string]jobs.Service{"off": {Spare: true}}}
+	capacity := jobs.Resources{CPU: 1000}
+	machines := []jobs.Machine{{Pool: "a", DataCentre: "y", Capacity: capacity}, {Pool: "a", DataCentre: "z", Capacity: capacity}, {Pool: "off", DataCentre: "y", Capacity: capacity}}
+	need := map[string]dispatch.Demand{"a": {Need: jobs.Resources{CPU: 1500}}}
+	left := remainingCapacity(machines, evacuation.State{}.Request("y"), need, config)
+	assert.Equal(t, []operatorapi.RemainingCapacity{{Service: "a", Machines: 2, Left: 1, Needed: 1.5}, {Service: "off", Spare: true, Machines: 1}}, left)
+}
--- a/jobnode/machines.go
+++ b/jobnode/machines.go
@@ -161,6 +161,7 @@
 	if err != nil {
 		return nil, false
 	}
+	mc.machineList.Store(&machines)
 	mc.update(func(c *dispatch.Core) {
 		c.UpdateMachines(machines)
 		for _, m := range machines {
--- a/jobnode/queries.go
+++ b/jobnode/queries.go
@@ -31,6 +31,7 @@
 // call; the answer is sent as JSON.
 var operatorQueries = map[string]func(d *dispatcher, args []byte) (any, error){
 	"dispatcher":   (*dispatcher).status,
+	"evacuations":  (*dispatcher).evacuations,
 	"interference": (*dispatcher).interference,
 }
 
