Resume starts as soon as the store is back

Change: a read that has waited in vain shows all records up to the end of its wait, and after a failed read the next one doesn't wait. Only with the bound evacuate.

--- a/jobnode/evacuations.go
+++ b/jobnode/evacuations.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"time"
 
 	"github.com/samber/oops"
 
@@ -23,10 +24,10 @@
 		return
 	}
 	if len(r.Value) == 0 {
-		o.setEvacuation(o.evacuation.Withdraw(name, boottime.Now()))
+		o.setEvacuation(o.evacuation.State.Withdraw(name, boottime.Now()))
 		return
 	}
-	o.setEvacuation(o.evacuation.Request(name))
+	o.setEvacuation(o.evacuation.State.Request(name))
 }
 
 // replaceEvacuations withdraws the requests that aren't among the newest records of all keys: their withdrawal wasn't read.
@@ -39,29 +40,44 @@
 			names = append(names, name)
 		}
 	}
-	o.setEvacuation(o.evacuation.Replace(names, boottime.Now()))
+	o.setEvacuation(o.evacuation.State.Replace(names, boottime.Now()))
 }
 
 // setEvacuation replaces the state and logs what has changed. o.mu must be held.
 func (o *operatorFollower) setEvacuation(next evacuation.State) {
 	for _, name := range next.DataCentres() {
-		if !o.evacuation.Evacuated(name) {
+		if !o.evacuation.State.Evacuated(name) {
 			events.Log(o.log, events.EvacuationRequested, name)
 		}
 	}
-	for _, name := range o.evacuation.DataCentres() {
+	for _, name := range o.evacuation.State.DataCentres() {
 		if !next.Evacuated(name) {
 			events.Log(o.log, events.EvacuationWithdrawn, name)
 		}
 	}
-	o.evacuation = next
+	o.evacuation.State = next
+}
+
+// upToDateAt returns a time up to which a read shows all records: when it was sent, or, if the store has waited for records in vain, the end of that wait.
+func upToDateAt(sent, wait, now time.Duration, empty bool) time.Duration {
+	if empty && now-sent >= wait {
+		return sent + wait
+	}
+	return sent
+}
+
+// confirmEvacuations records that no request has been missed that was acknowledged before a time.
+func (o *operatorFollower) confirmEvacuations(at time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.evacuation.ConfirmedAt = at
 }
 
 // evacuationView returns what this node knows of the evacuations.
 func (o *operatorFollower) evacuationView() evacuation.View {
 	o.mu.RLock()
 	defer o.mu.RUnlock()
-	return evacuation.View{State: o.evacuation, ConfirmedAt: o.confirmedAt}
+	return o.evacuation
 }
 
 // startGuard sends starts to backend servers where no evacuation forbids it, as this node knows at that moment. Everything else it passes on.
--- a/jobnode/evacuations_test.go
+++ b/jobnode/evacuations_test.go
@@ -13,6 +13,7 @@
 	"example.org/comfreyrouter/dispatch"
 	"example.org/comfreyrouter/evacuation"
 	"example.org/comfreyrouter/internal/boottime"
+	"example.org/comfreyrouter/internal/standin/keyedstore"
 	"example.org/comfreyrouter/jobs"
 	"example.org/comfreyrouter/operatorapi"
 	"example.org/comfreyrouter/platform"
@@ -62,12 +63,33 @@
 	}
 	assert.Equal(t, jobs.StartViewOutdated, start("z"), "it has never read")
 	request := platform.Record{Key: platform.KeyEvacuationPrefix + "z", Value: []byte("not read")}
-	o.applyRecords([]platform.Record{request, {Key: platform.KeyEvacuationPrefix, Value: []byte("{}")}}, boottime.Now())
+	o.applyRecords([]platform.Record{request, {Key: platform.KeyEvacuationPrefix, Value: []byte("{}")}}, 0)
+	o.confirmEvacuations(boottime.Now())
 	assert.Equal(t, jobs.StartEvacuated, start("z"))
 	assert.Equal(t, jobs.Started, start("y"))
-	o.applyRecords(nil, boottime.Now()-4*time.Second)
+	o.confirmEvacuations(boottime.Now() - 4*time.Second)
 	assert.Equal(t, jobs.StartViewOutdated, start("y"))
 	assert.Equal(t, 1, servers.starts)
+	assert.Equal(t, 10*time.Second, upToDateAt(10*time.Second, time.Second, 12*time.Second, false))
+	assert.Equal(t, 11*time.Second, upToDateAt(10*time.Second, time.Second, 12*time.Second, true), "the store had waited")
+	assert.Equal(t, 10*time.Second, upToDateAt(10*time.Second, time.Second, 10500*time.Millisecond, true), "the store can't have waited")
+}
+
+// TestStartsResumeSoonAfterAnOutage guards against tasks that start only a second after the store is back, because the first read waits for a new record.
+func TestStartsResumeSoonAfterAnOutage(t *testing.T) {
+	f := newTestFleet(t, 0)
+	waits := make(chan string, 100)
+	f.store.SetFault(func(r *http.Request) keyedstore.Fault {
+		if r.URL.Path == "/log-newest" {
+			return keyedstore.NoFault
+		}
+		waits <- r.URL.Query().Get("wait_ms")
+		return keyedstore.Unavailable
+	})
+	o := newOperatorFollower(platform.NewStoreClient(f.address.String()), Bounds{RevokeWithin: time.Second, Evacuate: 5 * time.Second}, zerolog.Nop())
+	go func() { assert.NoError(t, o.Run(t.Context())) }()
+	assert.Equal(t, "900", <-waits)
+	assert.Equal(t, "0", <-waits, "after a failed read")
 }
 
 // TestWithdrawalsThatWereNotReadCount guards against a data centre that stays evacuated after the store has lost its history, and one that is taken back
--- a/jobnode/operators.go
+++ b/jobnode/operators.go
@@ -38,7 +38,7 @@
 	config      *jobs.Configuration
 	keys        map[string]string // workspace by key
 	waves       map[string]jobs.Wave
-	evacuation  evacuation.State
+	evacuation  evacuation.View
 	confirmedAt time.Duration // start of the last read that succeeded
 	changed     chan struct{} // closed and replaced when new records are read
 }
@@ -50,9 +50,15 @@
 // Run follows the operators' topic until ctx ends.
 func (o *operatorFollower) Run(ctx context.Context) error {
 	from := int64(-1)
+	failed := false
 	for ctx.Err() == nil {
+		wait := o.evacuate.ReadWait(operatorReadWait)
+		if failed && o.evacuate > 0 {
+			wait = 0 // no task may start before the view is recent again
+		}
 		sent := boottime.Now()
-		records, next, err := o.read(ctx, from)
+		records, next, behind, err := o.read(ctx, from, wait)
+		failed = err != nil
 		o.reads.report(err)
 		if err != nil {
 			if errors.Is(err, platform.ErrRecordsDeleted) {
@@ -65,26 +71,29 @@
 		if from < 0 {
 			o.replaceEvacuations(records)
 		}
-		from = next
 		o.applyRecords(records, sent)
+		if !behind {
+			o.confirmEvacuations(upToDateAt(sent, wait, boottime.Now(), next == from))
+		}
+		from = next
 	}
 	return nil
 }
 
-// read reads from an offset, or the latest record of each key if the offset is below 0.
-func (o *operatorFollower) read(ctx context.Context, from int64) ([]platform.Record, int64, error) {
+// read reads from an offset, or the latest record of each key if the offset is below 0. It reports whether there are more records to read.
+func (o *operatorFollower) read(ctx context.Context, from int64, wait time.Duration) (records []platform.Record, next int64, behind bool, err error) {
 	if from < 0 {
 		records, next, err := o.store.LatestByKey(ctx, platform.TopicOperators)
 		if err != nil {
-			return nil, -1, err
+			return nil, -1, false, err
 		}
-		return records, next, nil
+		return records, next, false, nil
 	}
-	page, err := o.store.Read(ctx, platform.TopicOperators, from, o.evacuate.ReadWait(operatorReadWait), platform.MaxPageKB)
+	page, err := o.store.Read(ctx, platform.TopicOperators, from, wait, platform.MaxPageKB)
 	if err != nil {
-		return nil, from, err
+		return nil, from, false, err
 	}
-	return page.Records, page.Next, nil
+	return page.Records, page.Next, page.Next < page.End, nil
 }
 
 func (o *operatorFollower) applyRecords(records []platform.Record, sent time.Duration) {
