Relocate long-running tasks only while no other dispatcher can

A cut-off dispatcher went on relocating in its order grace, and a task is reported as serving while it is being stopped, so each of the two used the whole miss budget. That the two stops came from the predecessor is inferred from the times, not shown by a log. Change: only with the role lease, and a new dispatcher begins 2 s after it took over.

--- a/dispatch/evacuation.go
+++ b/dispatch/evacuation.go
@@ -44,10 +44,18 @@
 // second to serve again.
 const relocationInterval = 100 * time.Millisecond
 
+// relocationHandover is how long a new dispatcher relocates nothing. A stop that its predecessor has sent may be under way for 0.7 s, and the task is
+// reported as serving while it is being stopped.
+const relocationHandover = 2 * time.Second
+
 // RelocateEvacuated stops long-running tasks in evacuated data centres for which there is a place elsewhere, so that they start there, as far as the miss
-// budgets of their steps allow. Gangs stay, because all of their members would end.
+// budgets of their steps allow. Gangs stay, because all of their members would end. It does nothing unless this dispatcher is certainly the only one, and
+// has been for a while, because two of them would each use the whole budget.
 func (c *Core) RelocateEvacuated() {
-	if c.evacuation.held || len(c.evacuation.state.DataCentres()) == 0 || c.now < c.evacuation.relocatedAt+relocationInterval {
+	if c.evacuation.held || !c.soleDispatcher || c.now < c.admission.startedAt+relocationHandover {
+		return
+	}
+	if len(c.evacuation.state.DataCentres()) == 0 || c.now < c.evacuation.relocatedAt+relocationInterval {
 		return
 	}
 	c.evacuation.relocatedAt = c.now
--- a/dispatch/evacuation_test.go
+++ b/dispatch/evacuation_test.go
@@ -142,6 +142,16 @@
 	sim.core.RelocateEvacuated()
 	assert.Empty(t, sim.core.TakeOrders(), "no place elsewhere")
 	sim.core.SetEvacuated(evacuation.State{}.Request("z0"), false)
+	sim.core.Advance(sim.now, sim.wall(), false)
+	sim.core.RelocateEvacuated()
+	assert.Empty(t, sim.core.TakeOrders(), "another dispatcher may relocate tasks too")
+	sim.takeOver()
+	sim.core.SetEvacuated(evacuation.State{}.Request("z0"), false)
+	for range int(relocationHandover/tick) - 1 {
+		sim.step()
+		sim.core.RelocateEvacuated()
+		require.Empty(t, sim.core.TakeOrders(), "the predecessor's stops may be under way")
+	}
 	for range 600 {
 		sim.core.RelocateEvacuated()
 		sim.step()
