--- a/dispatch/evacuation_test.go
+++ b/dispatch/evacuation_test.go
@@ -142,6 +142,7 @@
 	sim.core.RelocateEvacuated()
 	assert.Empty(t, sim.core.TakeOrders(), "no place elsewhere")
 	sim.core.SetEvacuated(evacuation.State{}.Request("z0"), false)
+	sim.run(relocationInterval)
 	sim.core.Advance(sim.now, sim.wall(), false)
 	sim.core.RelocateEvacuated()
 	assert.Empty(t, sim.core.TakeOrders(), "another dispatcher may relocate tasks too")
