--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -224,6 +224,7 @@
 	upkeepDue           map[string]bool // servers whose machines are due for upkeep
 	unstoredJobs        map[string]*job // jobs whose progress has to be stored
 	unstoredCrashes     []*task
+	evacuation          evacuations
 	silent              map[string]silentServer       // by server
 	unansweredStarts    map[string][]*unansweredStart // by server
 	removedServers      map[string]removedServer
--- a/jobnode/operators.go
+++ b/jobnode/operators.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"example.org/comfreyrouter/evacuation"
 	"example.org/comfreyrouter/events"
 	"example.org/comfreyrouter/internal/boottime"
 	"example.org/comfreyrouter/jobs"
@@ -25,31 +26,39 @@
 	revokeMargin = 1500 * time.Millisecond
 )
 
-// operatorFollower follows what operators publish: the configuration and the waves.
+// operatorFollower follows what operators publish: the configuration, the waves and the requests to evacuate data centres.
 type operatorFollower struct {
 	store        *platform.StoreClient
 	log          zerolog.Logger
 	revokeWithin time.Duration
+	evacuate     evacuation.Bound
 	reads        dependencyLog
 
 	mu          sync.RWMutex
 	config      *jobs.Configuration
 	keys        map[string]string // workspace by key
 	waves       map[string]jobs.Wave
+	evacuation  evacuation.View
 	confirmedAt time.Duration // start of the last read that succeeded
 	changed     chan struct{} // closed and replaced when new records are read
 }
 
-func newOperatorFollower(store *platform.StoreClient, revokeWithin time.Duration, log zerolog.Logger) *operatorFollower {
-	return &operatorFollower{store: store, revokeWithin: revokeWithin, log: log, reads: dependencyLog{name: "operators' records", log: log}, waves: map[string]jobs.Wave{}, changed: make(chan struct{})}
+func newOperatorFollower(store *platform.StoreClient, bounds Bounds, log zerolog.Logger) *operatorFollower {
+	return &operatorFollower{store: store, revokeWithin: bounds.RevokeWithin, evacuate: evacuation.Bound(bounds.Evacuate), log: log, reads: dependencyLog{name: "operators' records", log: log}, waves: map[string]jobs.Wave{}, changed: make(chan struct{})}
 }
 
 // Run follows the operators' topic until ctx ends.
 func (o *operatorFollower) Run(ctx context.Context) error {
 	from := int64(-1)
+	failed := false
 	for ctx.Err() == nil {
+		wait := o.evacuate.ReadWait(operatorReadWait)
+		if failed && o.evacuate > 0 {
+			wait = 0 // no task may start before the view is recent again
+		}
 		sent := boottime.Now()
-		records, next, err := o.read(ctx, from)
+		records, next, behind, err := o.read(ctx, from, wait)
+		failed = err != nil
 		o.reads.report(err)
 		if err != nil {
 			if errors.Is(err, platform.ErrRecordsDeleted) {
@@ -59,26 +68,32 @@
 			sleep(ctx, storeRetryDelay)
 			continue
 		}
-		from = next
+		if from < 0 {
+			o.replaceEvacuations(records)
+		}
 		o.applyRecords(records, sent)
+		if !behind {
+			o.confirmEvacuations(upToDateAt(sent, wait, boottime.Now(), next == from))
+		}
+		from = next
 	}
 	return nil
 }
 
-// read reads from an offset, or the latest record of each key if the offset is below 0.
-func (o *operatorFollower) read(ctx context.Context, from int64) ([]platform.Record, int64, error) {
+// read reads from an offset, or the latest record of each key if the offset is below 0. It reports whether there are more records to read.
+func (o *operatorFollower) read(ctx context.Context, from int64, wait time.Duration) (records []platform.Record, next int64, behind bool, err error) {
 	if from < 0 {
 		records, next, err := o.store.LatestByKey(ctx, platform.TopicOperators)
 		if err != nil {
-			return nil, -1, err
+			return nil, -1, false, err
 		}
-		return records, next, nil
+		return records, next, false, nil
 	}
-	page, err := o.store.Read(ctx, platform.TopicOperators, from, operatorReadWait, platform.MaxPageKB)
+	page, err := o.store.Read(ctx, platform.TopicOperators, from, wait, platform.MaxPageKB)
 	if err != nil {
-		return nil, from, err
+		return nil, from, false, err
 	}
-	return page.Records, page.Next, nil
+	return page.Records, page.Next, page.Next < page.End, nil
 }
 
 func (o *operatorFollower) applyRecords(records []platform.Record, sent time.Duration) {
@@ -90,6 +105,8 @@
 			o.applyConfiguration(r.Value)
 		case strings.HasPrefix(r.Key, platform.KeyWavePrefix):
 			o.applyWave(r)
+		case strings.HasPrefix(r.Key, platform.KeyEvacuationPrefix):
+			o.applyEvacuation(r)
 		}
 	}
 	o.confirmedAt = sent
