Decide the waiting order in a package of its own, and finish late jobs while they are of use

Of the jobs that were accepted and earned nothing, those that had become late waited behind all others, also after they had begun, and always left a quarter of the pool free, until their results were of no use. Package waitorder now orders them by what the caller can still use: begun jobs first, late or not, and late jobs take all the room that others leave once half of the time is gone in which their results are of use. Late jobs may always use a quarter of a pool, so that none waits for ever behind the reserve.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -178,7 +178,7 @@
 		if j.cancelled || j.failed || j.sub.Spec.LongRunning() {
 			continue
 		}
-		late := c.candidate(j).rank.late()
+		late := c.candidate(j).Class.Late()
 		name := c.serviceOf(j)
 		service := loads[name]
 		for _, o := range j.occurrences {
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -86,6 +86,7 @@
 	progressClockMS int64         // server clock at progressAt; 0 if no report has set it
 	survived        bool          // it was reported long enough after its start, so it didn't crash the server by starting
 	pace            int           // ordered percentage of its full speed; -1 if the order has to be sent again
+	late            bool          // its job was late when it started; false if the run was adopted
 	latencyMS       float64       // tail latency in the last report, for a task that serves requests
 }
 
@@ -174,6 +175,7 @@
 	formerLeasesEndAt   time.Duration // by then all leases have expired that calls for former incarnations may have extended
 	runs                map[string]*run
 	used                jobs.Resources // reserved by its runs
+	usedLateCPU         int64          // part of used.CPU that is reserved by runs whose jobs were late when they started
 	lastEnd             int64          // number of the newest end that has been processed
 	storedEnd           int64          // number of the newest end whose effects are stored
 	consecutiveFailures int            // consecutive failed runs, over different tasks
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -63,7 +63,7 @@
 func (c *Core) Demands() map[string]Demand {
 	demands := map[string]Demand{}
 	for _, j := range c.jobs {
-		if j.cancelled || j.failed || c.candidate(j).rank.late() {
+		if j.cancelled || j.failed || c.candidate(j).Class.Late() {
 			continue // machines are provided only for jobs that can be on time
 		}
 		service := c.serviceOf(j)
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -7,6 +7,7 @@
 
 	"example.org/comfreyrouter/jobs"
 	"example.org/comfreyrouter/ledger"
+	"example.org/comfreyrouter/waitorder"
 )
 
 // maxRestoredAge bounds a job's age as computed from the time of day, so that a clock jump doesn't make the job too late to be of use.
@@ -173,10 +174,26 @@
 	delete(c.jobs, j.sub.ID)
 	delete(c.unstoredJobs, j.sub.ID)
 	c.count("job_" + string(phase))
+	if phase == jobs.Complete && !j.sub.Spec.Scheduled() {
+		c.countLateResult(j)
+	}
 	c.summaries = append(c.summaries, j.summary(phase, c.now))
 	c.records = append(c.records, ledger.FinalStateRecords(j.sub.ID, ledger.FinalState{Phase: phase, Route: j.sub.Route, EndedMS: c.wallMS})...)
 }
 
+// countLateResult counts a completed job whose result is late, or too late to be of use.
+func (c *Core) countLateResult(j *job) {
+	for _, o := range j.occurrences {
+		total, _ := c.criticalPath(o)
+		switch within, took := objective(j.sub, total), c.now-j.submittedAt; {
+		case took > waitorder.MaxUsefulFactor*within:
+			c.count("job_result_useless")
+		case took > within:
+			c.count("job_result_late")
+		}
+	}
+}
+
 func (j *job) summary(phase jobs.Phase, now time.Duration) JobSummary {
 	waited := time.Duration(0)
 	if j.firstStart > 0 {
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -4,34 +4,15 @@
 	"cmp"
 	"math"
 	"slices"
-	"time"
 
 	"example.org/comfreyrouter/jobs"
+	"example.org/comfreyrouter/waitorder"
 )
 
-// rank is the priority class of a job. Lower ranks are placed first.
-type rank int
-
-const (
-	rankLongRunning rank = iota // its tasks must be serving at all times
-	rankStarted                 // has started and can be on time: the resources already spent pay off only if it is
-	rankOnTime                  // can be on time
-	rankOverShare               // can be on time, but its workspace has used up its share
-	rankLateStarted             // has started and can no longer be on time
-	rankLate                    // can no longer be on time
-	rankTooLate                 // its result will be too late to be of use; it was accepted, so it runs when there is capacity
-)
-
-// late reports whether jobs of the rank can't be on time.
-func (r rank) late() bool { return r >= rankLateStarted }
-
-// candidate is a job with tasks that may start now.
+// candidate is a job with tasks that may start now, and its position in the order.
 type candidate struct {
-	job  *job
-	rank rank
-	// sortKey orders jobs of the same rank: the slack, or the time of submission for long-running jobs and for those that can't be on time.
-	sortKey time.Duration
-	slack   time.Duration // time left beyond the remaining steps; negative if the job will be late; unset for long-running jobs
+	job *job
+	waitorder.Position
 }
 
 // Schedule starts all tasks that may start and for which there is capacity.
@@ -94,7 +75,7 @@
 	return true
 }
 
-// placeService starts tasks of one service in order of priority. Jobs are left out whose tasks may run on an awaited server. It returns how
+// placeService starts tasks of one service in the order in which its jobs wait. Jobs are left out whose tasks may run on an awaited server. It returns how
 // many jobs with a stored or requested mark still wait, or the number of all waiting jobs if no server is schedulable.
 func (c *Core) placeService(pool *serverPool, waiting []candidate) int {
 	if pool == nil {
@@ -103,14 +84,14 @@
 	slices.SortFunc(waiting, compareCandidates)
 	var marks markBudget
 	for _, w := range waiting {
-		if c.awaits(w.job) || w.rank.late() && !pool.hasCapacityForLate() {
+		if c.awaits(w.job) || !pool.room().Admits(w.Class) {
 			continue
 		}
 		if w.job.startMark != markStored {
 			c.requestMark(w.job, pool, &marks)
 			continue
 		}
-		c.placeJob(w.job, pool)
+		c.placeJob(w, pool)
 		if c.hasStartable(w.job) && !c.atLimit(w.job) {
 			marks.waiting++
 		}
@@ -119,24 +100,24 @@
 }
 
 // placeJob starts the tasks of a job's ready steps as far as there is capacity.
-func (c *Core) placeJob(j *job, pool *serverPool) {
-	for _, o := range j.occurrences {
+func (c *Core) placeJob(w candidate, pool *serverPool) {
+	for _, o := range w.job.occurrences {
 		for _, s := range o.steps {
 			if s.waiting > 0 && s.ready() {
-				c.placeStep(s, pool)
+				c.placeStep(s, pool, w.Class.Late())
 			}
 		}
 	}
 }
 
 func compareCandidates(a, b candidate) int {
-	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.sortKey, b.sortKey), cmp.Compare(a.job.sub.ID, b.job.sub.ID))
+	return cmp.Or(a.Position.Compare(b.Position), cmp.Compare(a.job.sub.ID, b.job.sub.ID))
 }
 
-// placeStep starts the waiting tasks of a step as far as there is capacity. A gang starts completely or not at all.
-func (c *Core) placeStep(s *step, pool *serverPool) {
+// placeStep starts the waiting tasks of a step as far as there is capacity. A gang starts completely or not at all. late says whether the job is late.
+func (c *Core) placeStep(s *step, pool *serverPool, late bool) {
 	if s.spec.Gang {
-		c.placeGang(s, pool)
+		c.placeGang(s, pool, late)
 		return
 	}
 	for _, t := range s.tasks {
@@ -154,8 +135,8 @@
 		if !found {
 			return
 		}
-		c.start(t, pool.servers[i])
-		pool.taskStarted(i, s.spec.Allocation())
+		c.start(t, pool.servers[i], late)
+		pool.taskStarted(i, s.spec.Allocation(), late)
 	}
 }
 
@@ -166,7 +147,7 @@
 }
 
 // placeGang starts all tasks of a gang at once, or none.
-func (c *Core) placeGang(s *step, pool *serverPool) {
+func (c *Core) placeGang(s *step, pool *serverPool, late bool) {
 	for _, t := range s.tasks {
 		if !c.startable(t) || !c.mayIsolate(t, pool.servers) {
 			return
@@ -188,7 +169,7 @@
 			continue
 		}
 		for _, t := range s.tasks {
-			c.start(t, chosen[t])
+			c.start(t, chosen[t], late)
 		}
 		pool.sort()
 		return
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -6,6 +6,7 @@
 	"sort"
 
 	"example.org/comfreyrouter/jobs"
+	"example.org/comfreyrouter/waitorder"
 )
 
 // serverPool holds the schedulable servers of a service during a scheduling pass. A pool may have most of a fleet's servers, and a pass may place
@@ -15,8 +16,8 @@
 	freeShares []float64 // of the servers, at the same positions
 	// largestCPU is the largest number of processors that a server of the pool has, in thousandths.
 	largestCPU int64
-	// capacityCPU and usedCPU are the processors of all servers, in thousandths.
-	capacityCPU, usedCPU int64
+	// capacityCPU and usedCPU are the processors of all servers, in thousandths, and usedLateCPU are those of runs whose jobs were late when they started.
+	capacityCPU, usedCPU, usedLateCPU int64
 	// tooLarge holds allocations that fit on no server of the pool. During a pass tasks only start, so neither does a larger one.
 	tooLarge []jobs.Resources
 	examined int // number of servers that tasks were compared with
@@ -49,15 +50,17 @@
 	p.largestCPU = max(p.largestCPU, s.info.Capacity.CPU)
 	p.capacityCPU += s.info.Capacity.CPU
 	p.usedCPU += s.used.CPU
+	p.usedLateCPU += s.usedLateCPU
 }
 
 // sort brings the servers into their order. It must be called after servers were added or their usage has changed.
 func (p *serverPool) sort() {
 	p.freeShares = p.freeShares[:0]
-	p.usedCPU = 0
+	p.usedCPU, p.usedLateCPU = 0, 0
 	for _, s := range p.servers {
 		p.freeShares = append(p.freeShares, freeShare(s, s.info.Capacity.Sub(s.used)))
 		p.usedCPU += s.used.CPU
+		p.usedLateCPU += s.usedLateCPU
 	}
 	sort.Sort(p)
 }
@@ -109,19 +112,18 @@
 }
 
 // taskStarted restores the order after a task has started on the server at a position.
-func (p *serverPool) taskStarted(i int, allocation jobs.Resources) {
+func (p *serverPool) taskStarted(i int, allocation jobs.Resources, late bool) {
 	p.usedCPU += allocation.CPU
+	if late {
+		p.usedLateCPU += allocation.CPU
+	}
 	p.freeShares[i] = freeShare(p.servers[i], p.servers[i].info.Capacity.Sub(p.servers[i].used))
 	for ; i > 0 && p.compare(i, i-1) < 0; i-- {
 		p.Swap(i, i-1)
 	}
 }
 
-// lateJobReserve is the share of a pool's processors that late jobs leave free. Their tasks run for about a second, and a demand peak in the meantime
-// would find no capacity.
-const lateJobReserve = 0.25
-
-// hasCapacityForLate reports whether the pool has more free capacity than the reserve for jobs that can be on time.
-func (p *serverPool) hasCapacityForLate() bool {
-	return float64(p.capacityCPU-p.usedCPU) > lateJobReserve*float64(p.capacityCPU)
+// room returns the pool's use as of now.
+func (p *serverPool) room() waitorder.Room {
+	return waitorder.Room{Capacity: p.capacityCPU, Used: p.usedCPU, UsedLate: p.usedLateCPU}
 }
--- a/dispatch/ranking.go
+++ b/dispatch/ranking.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"example.org/comfreyrouter/jobs"
+	"example.org/comfreyrouter/waitorder"
 )
 
 const (
@@ -13,14 +14,8 @@
 	minRuntimeSamples = 12
 	// longestTaskFactor is the ratio of a step's longest task to the mean. Run times within a job differ by about 15%.
 	longestTaskFactor = 1.2
-	// marginDivisor and minMargin determine the slack that a job that hasn't started must have to count as on time: run times are known to about a
-	// sixth, and a start takes a few milliseconds.
-	marginDivisor = 6
-	minMargin     = 100 * time.Millisecond
 	// defaultTaskMS is the assumed run time of a task without a declared one, in milliseconds.
 	defaultTaskMS = 1000
-	// maxUsefulFactor is the multiple of its objective after which a job's result is of no use to the caller.
-	maxUsefulFactor = 3
 )
 
 // runtimeMean is the mean run time of a queue's tasks, in milliseconds.
@@ -84,38 +79,20 @@
 	return total, remaining
 }
 
-// candidate returns a job with its rank.
+// candidate returns a job with its position in the order in which jobs wait.
 func (c *Core) candidate(j *job) candidate {
-	if j.sub.Spec.LongRunning() {
-		return candidate{job: j, rank: rankLongRunning, sortKey: j.submittedAt}
+	w := waitorder.Job{
+		LongRunning: j.sub.Spec.LongRunning(), Begun: j.started || j.runCount > 0, OverShare: j.overShare, Submitted: j.submittedAt,
 	}
-	w := candidate{job: j, sortKey: j.submittedAt, slack: time.Duration(1 << 62)}
-	margin, useful := time.Duration(0), true
-	for _, o := range j.occurrences {
-		total, remaining := c.criticalPath(o)
-		within := objective(j.sub, total)
-		margin = max(margin, remaining/marginDivisor+minMargin)
-		w.slack = min(w.slack, c.dueAt(o)+within-c.now-remaining)
-		useful = useful && c.now+remaining <= c.dueAt(o)+maxUsefulFactor*within
-	}
-	started := j.started || j.runCount > 0
-	switch {
-	case !useful:
-		w.rank = rankTooLate
-	case w.slack < 0 && started:
-		w.rank = rankLateStarted
-	case w.slack < 0:
-		w.rank = rankLate
-	case started:
-		w.rank, w.sortKey = rankStarted, w.slack
-	case w.slack < margin:
-		w.rank = rankLate
-	case j.overShare:
-		w.rank, w.sortKey = rankOverShare, w.slack
-	default:
-		w.rank, w.sortKey = rankOnTime, w.slack
+	var onStack [1]waitorder.Part // most jobs have one occurrence
+	w.Parts = onStack[:0]
+	if !w.LongRunning {
+		for _, o := range j.occurrences {
+			total, remaining := c.criticalPath(o)
+			w.Parts = append(w.Parts, waitorder.Part{Due: c.dueAt(o), Objective: objective(j.sub, total), Remaining: remaining})
+		}
 	}
-	return w
+	return candidate{job: j, Position: waitorder.Of(w, c.now)}
 }
 
 // objective returns the time within which a job has to end if the run time of its critical path is total.
@@ -182,16 +159,16 @@
 	n := Counts{Servers: len(c.servers)}
 	for _, j := range c.jobs {
 		n.Runs += j.runCount
-		switch c.candidate(j).rank {
-		case rankLongRunning:
+		switch c.candidate(j).Class {
+		case waitorder.LongRunning:
 			n.LongRunning++
-		case rankStarted:
+		case waitorder.Begun:
 			n.Started++
-		case rankOnTime:
+		case waitorder.OnTime:
 			n.OnTime++
-		case rankOverShare:
+		case waitorder.OverShare:
 			n.OverShare++
-		case rankLateStarted, rankLate, rankTooLate:
+		case waitorder.BegunLate, waitorder.Overdue, waitorder.Late, waitorder.LateOverShare, waitorder.TooLate:
 			n.Late++
 		}
 	}
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -22,10 +22,10 @@
 	maxBackoff = 8 * time.Second
 )
 
-// start assigns a task to a server and orders its start.
-func (c *Core) start(t *task, s *server) {
+// start assigns a task to a server and orders its start. late says whether its job is late.
+func (c *Core) start(t *task, s *server, late bool) {
 	t.startCount++
-	r := &run{task: t, server: s, attempt: c.params.Epoch*attemptsPerEpoch + t.startCount, state: runStarting, sentAt: c.now, progressAt: c.now, pace: 100}
+	r := &run{task: t, server: s, attempt: c.params.Epoch*attemptsPerEpoch + t.startCount, state: runStarting, sentAt: c.now, progressAt: c.now, pace: 100, late: late}
 	c.addRun(r)
 	if t.caution() != startAnywhere {
 		s.trial = r
@@ -34,7 +34,7 @@
 	j := t.step.occurrence.job
 	if !j.started && j.firstStart == 0 {
 		w := c.candidate(j)
-		j.lateAtStart, j.slackAtStart = w.rank.late(), w.slack
+		j.lateAtStart, j.slackAtStart = late, w.Slack
 		j.firstStart = c.now
 	}
 	ticket, _ := c.ticketFor(t.step, s) // chooseServer has checked that the ticket exists if one is needed
@@ -60,6 +60,9 @@
 	t.run = r
 	s.runs[t.id.String()] = r
 	s.used = s.used.Add(t.step.spec.Allocation())
+	if r.late {
+		s.usedLateCPU += t.step.spec.Allocation().CPU
+	}
 	j := t.step.occurrence.job
 	j.runCount++
 	c.usage[j.sub.Workspace] = c.usage[j.sub.Workspace].Add(t.step.spec.Need)
@@ -75,6 +78,9 @@
 	delete(s.runs, key)
 	s.idleSince = c.now
 	s.used = s.used.Sub(t.step.spec.Allocation())
+	if r.late {
+		s.usedLateCPU -= t.step.spec.Allocation().CPU
+	}
 	j := t.step.occurrence.job
 	j.runCount--
 	c.usage[j.sub.Workspace] = c.usage[j.sub.Workspace].Sub(t.step.spec.Need)
