Share a pool's room by weight among the workspaces that claim it

A workspace that sent many times its usual made the jobs of all others late: its share was a rate of jobs begun, which leaves room for each workspace's own peaks and hardly binds in the turn of a queue. A workspace that uses more of a pool than its weight's share of what is in use now waits behind the others with jobs that it hasn't begun; room that nobody else claims goes to anybody.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -86,6 +86,7 @@
 	progressClockMS int64         // server clock at progressAt; 0 if no report has set it
 	survived        bool          // it was reported long enough after its start, so it didn't crash the server by starting
 	pace            int           // ordered percentage of its full speed; -1 if the order has to be sent again
+	service         string        // of its server when the run was added
 	late            bool          // its job was late when it started; false if the run was adopted
 	latencyMS       float64       // tail latency in the last report, for a task that serves requests
 }
@@ -207,6 +208,8 @@
 	unreportedUsage    map[string]jobs.Resources // needs of tasks that may run on awaited servers, by workspace with a limit, as of the last pass
 	limits             map[string]jobs.Resources // by workspace
 	arrivals           map[string]*arrivals      // by service
+	poolUsage          map[workspacePool]int64   // processors that runs of tasks that end by themselves use, in thousandths
+	beyondShare        map[workspacePool]bool    // those that use more than their share, as of the last pass
 	weights            map[string]float64        // share of each workspace, in jobs per second
 	shares             map[string]*shareBucket
 	serverListComplete bool            // the platform's server list has been read completely
@@ -276,7 +279,7 @@
 		awaited: map[string]awaitedServers{}, unreportedUsage: map[string]jobs.Resources{}, unansweredStarts: map[string][]*unansweredStart{},
 		unstoredJobs: map[string]*job{}, silent: map[string]silentServer{}, removedServers: map[string]removedServer{}, endedJobs: map[string]bool{},
 		runtimes: map[string]*runtimeMean{}, eventCounts: map[string]int{},
-		arrivals: map[string]*arrivals{}, shares: map[string]*shareBucket{}, markedWaiting: map[string]int{},
+		arrivals: map[string]*arrivals{}, poolUsage: map[workspacePool]int64{}, beyondShare: map[workspacePool]bool{}, shares: map[string]*shareBucket{}, markedWaiting: map[string]int{},
 		admission: admission{admitted: map[string]admittedJob{}, rejections: map[string]rejection{}, acceptedAt: map[string]time.Duration{}, startedAt: now},
 		now:       now, wallMS: wallMS,
 	}
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -131,3 +131,31 @@
 	sim.run(30 * time.Second)
 	assert.True(t, sim.core.Admit(quoteJob(sim, refused[0])).Accepted, "the jobs before it have completed")
 }
+
+// TestOthersDoNotWaitForAWorkspaceFarBeyondItsUsual guards against jobs that wait behind those of a workspace that has sent many times its usual.
+func TestOthersDoNotWaitForAWorkspaceFarBeyondItsUsual(t *testing.T) {
+	sim := newSimulation(35, 4)
+	sim.config.Workspaces = []jobs.Workspace{{Name: "w", Weight: 100}, {Name: "hot", Weight: 100}}
+	sim.core.SetConfiguration(sim.config)
+	sim.run(300 * time.Millisecond)
+	submitHot := func(from, count int) {
+		for i := range count {
+			sim.submitFor("hot", fmt.Sprintf("%016x", from+i), stepOf(1, 1000))
+		}
+	}
+	submitHot(0x100, 16)
+	sim.run(200 * time.Millisecond)
+	assert.Equal(t, 16, sim.core.Counts().Runs, "room that nobody else claims is used")
+	sim.run(400 * time.Millisecond)
+	submitHot(0x200, 24)
+	sim.run(100 * time.Millisecond)
+	sim.submitMany(0x300, 4)
+	sim.run(800 * time.Millisecond)
+	for i := range 4 {
+		j := sim.core.jobs[fmt.Sprintf("%016x", 0x300+i)]
+		assert.True(t, j == nil || j.started, "it doesn't wait for the jobs of the other workspace")
+	}
+	sim.run(30 * time.Second)
+	assert.Empty(t, sim.violations)
+	assert.Empty(t, sim.core.poolUsage)
+}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -18,7 +18,7 @@
 // Schedule starts all tasks that may start and for which there is capacity.
 func (c *Core) Schedule() {
 	c.updateAwaited()
-	byService := map[string][]candidate{}
+	byService := map[string][]*job{}
 	for _, j := range c.jobs {
 		if j.cancelled || j.failed {
 			c.finishIfEnded(j)
@@ -32,8 +32,9 @@
 			continue
 		}
 		service := c.serviceOf(j)
-		byService[service] = append(byService[service], c.candidate(j))
+		byService[service] = append(byService[service], j)
 	}
+	c.updateBeyondShare(byService)
 	c.updateUnreportedUsage()
 	pools := c.serverPools(byService)
 	clear(c.markedWaiting)
@@ -77,9 +78,13 @@
 
 // placeService starts tasks of one service in the order in which its jobs wait. Jobs are left out whose tasks may run on an awaited server. It returns how
 // many jobs with a stored or requested mark still wait, or the number of all waiting jobs if no server is schedulable.
-func (c *Core) placeService(pool *serverPool, waiting []candidate) int {
+func (c *Core) placeService(pool *serverPool, waitingJobs []*job) int {
 	if pool == nil {
-		return len(waiting)
+		return len(waitingJobs)
+	}
+	waiting := make([]candidate, len(waitingJobs))
+	for i, j := range waitingJobs {
+		waiting[i] = c.candidate(j)
 	}
 	slices.SortFunc(waiting, compareCandidates)
 	var marks markBudget
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -27,7 +27,7 @@
 const maxTooLarge = 16
 
 // serverPools returns the schedulable servers of each service that has waiting jobs.
-func (c *Core) serverPools(waiting map[string][]candidate) map[string]*serverPool {
+func (c *Core) serverPools(waiting map[string][]*job) map[string]*serverPool {
 	pools := map[string]*serverPool{}
 	for _, s := range c.servers {
 		service := s.info.Service
--- a/dispatch/ranking.go
+++ b/dispatch/ranking.go
@@ -82,7 +82,7 @@
 // candidate returns a job with its position in the order in which jobs wait.
 func (c *Core) candidate(j *job) candidate {
 	w := waitorder.Job{
-		LongRunning: j.sub.Spec.LongRunning(), Begun: j.started || j.runCount > 0, OverShare: j.overShare, Submitted: j.submittedAt,
+		LongRunning: j.sub.Spec.LongRunning(), Begun: j.started || j.runCount > 0, OverShare: c.isBeyondShare(j), Submitted: j.submittedAt,
 	}
 	var onStack [1]waitorder.Part // most jobs have one occurrence
 	w.Parts = onStack[:0]
@@ -110,6 +110,43 @@
 	return c.now - time.Duration(c.wallMS-dueMS)*time.Millisecond
 }
 
+// isBeyondShare reports whether the workspace of a job had used up its share when the job arrived, or uses more of its pool than its share.
+func (c *Core) isBeyondShare(j *job) bool {
+	return j.overShare || c.beyondShare[workspacePool{c.serviceOf(j), j.sub.Workspace}]
+}
+
+// workspacePool names a workspace and the service on whose servers its jobs run.
+type workspacePool struct{ service, workspace string }
+
+// updateBeyondShare determines the workspaces that use more than their share of a pool for which jobs wait.
+func (c *Core) updateBeyondShare(waiting map[string][]*job) {
+	clear(c.beyondShare)
+	claims := map[string]map[string]waitorder.Claim{}
+	claim := func(service, workspace string, used int64) {
+		if claims[service] == nil {
+			claims[service] = map[string]waitorder.Claim{}
+		}
+		claims[service][workspace] = waitorder.Claim{Weight: c.weights[workspace], Used: used}
+	}
+	for service, waitingJobs := range waiting {
+		for _, j := range waitingJobs {
+			if !j.sub.Spec.LongRunning() {
+				claim(service, j.sub.Workspace, 0)
+			}
+		}
+	}
+	for k, used := range c.poolUsage {
+		if len(waiting[k.service]) > 0 {
+			claim(k.service, k.workspace, used)
+		}
+	}
+	for service, cl := range claims {
+		for workspace := range waitorder.BeyondShare(cl) {
+			c.beyondShare[workspacePool{service, workspace}] = true
+		}
+	}
+}
+
 // shareBucket is a token bucket with one token per submitted job. It refills at the weight of its workspace, in jobs per second.
 type shareBucket struct {
 	tokens float64
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -35,6 +35,9 @@
 	if !j.started && j.firstStart == 0 {
 		w := c.candidate(j)
 		j.lateAtStart, j.slackAtStart = late, w.Slack
+		if c.isBeyondShare(j) {
+			c.count("job_beyond_share")
+		}
 		j.firstStart = c.now
 	}
 	ticket, _ := c.ticketFor(t.step, s) // chooseServer has checked that the ticket exists if one is needed
@@ -64,10 +67,23 @@
 		s.usedLateCPU += t.step.spec.Allocation().CPU
 	}
 	j := t.step.occurrence.job
+	r.service = s.info.Service
+	c.usePool(r, t.step.spec.Allocation().CPU)
 	j.runCount++
 	c.usage[j.sub.Workspace] = c.usage[j.sub.Workspace].Add(t.step.spec.Need)
 }
 
+// usePool adds processors that a run uses, in thousandths, to the use of its workspace in its pool.
+func (c *Core) usePool(r *run, cpu int64) {
+	if r.task.step.spec.LongRunning {
+		return
+	}
+	k := workspacePool{r.service, r.task.step.occurrence.job.sub.Workspace}
+	if c.poolUsage[k] += cpu; c.poolUsage[k] == 0 {
+		delete(c.poolUsage, k)
+	}
+}
+
 // removeRun removes a run that has certainly ended.
 func (c *Core) removeRun(r *run) {
 	t, s := r.task, r.server
@@ -82,6 +98,7 @@
 		s.usedLateCPU -= t.step.spec.Allocation().CPU
 	}
 	j := t.step.occurrence.job
+	c.usePool(r, -t.step.spec.Allocation().CPU)
 	j.runCount--
 	c.usage[j.sub.Workspace] = c.usage[j.sub.Workspace].Sub(t.step.spec.Need)
 	if t.run == r {
--- a/waitorder/waitorder.go
+++ b/waitorder/waitorder.go
@@ -24,7 +24,7 @@
 type Job struct {
 	LongRunning bool
 	Begun       bool // a task of it has started
-	// OverShare reports whether its workspace had used up its share when the job arrived.
+	// OverShare reports whether its workspace is beyond its share.
 	OverShare bool
 	Submitted time.Duration // on the clock of Now
 	Parts     []Part        // unused for a long-running job
@@ -46,10 +46,10 @@
 	Begun                      // has begun and can be on time: what was spent on it pays off only if it is
 	BegunLate                  // has begun and is late but of use: it needs less than a job that hasn't begun
 	OnTime                     // can be on time
-	OverShare                  // can be on time, but its workspace has used up its share
+	OverShare                  // can be on time, but its workspace is beyond its share
 	Overdue                    // late, and soon of no use
 	Late                       // can no longer be on time, and its result is still of use
-	LateOverShare              // the same, of a workspace that had used up its share
+	LateOverShare              // the same, of a workspace that is beyond its share
 	TooLate                    // its result will be too late to be of use
 )
 
--- a/waitorder/waitorder_test.go
+++ b/waitorder/waitorder_test.go
@@ -1,6 +1,7 @@
 package waitorder
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -17,6 +18,8 @@
 
 // replayJob is a job of two steps of eight tasks. The second step starts when the first is done.
 type replayJob struct {
+	workspace string
+	beyond    bool // its workspace uses more than its share
 	submitted time.Duration
 	waiting   int // tasks of the present step that wait
 	running   int
@@ -27,7 +30,7 @@
 
 func (j *replayJob) position(now time.Duration) Position {
 	remaining := time.Duration(2-j.step) * taskTime
-	return Of(Job{Begun: j.begun, Submitted: j.submitted, Parts: []Part{{Due: j.submitted, Objective: objective, Remaining: remaining}}}, now)
+	return Of(Job{Begun: j.begun, OverShare: j.beyond, Submitted: j.submitted, Parts: []Part{{Due: j.submitted, Objective: objective, Remaining: remaining}}}, now)
 }
 
 // outcomes counts jobs by what their results are worth to the callers.
@@ -35,6 +38,11 @@
 
 // replay runs jobs that arrive at the given rates, one for each second, in jobs a second.
 func replay(rates []float64, position func(*replayJob, time.Duration) Position, admits func(Room, Class) bool) outcomes {
+	return replayShares(map[string][]float64{"w": rates}, nil, position, admits)["w"]
+}
+
+// replayShares runs the jobs of several workspaces, and returns the outcomes of each. Without weights no workspace has a share.
+func replayShares(rates map[string][]float64, weights map[string]float64, position func(*replayJob, time.Duration) Position, admits func(Room, Class) bool) map[string]outcomes {
 	const tick = 10 * time.Millisecond
 	type run struct {
 		job    *replayJob
@@ -44,12 +52,14 @@
 	rng := rand.New(rand.NewPCG(1, 2))
 	var all, open []*replayJob
 	var runs []run
-	due := 0.0
+	due := map[string]float64{}
 	for now := time.Duration(0); now < 2*time.Minute; now += tick {
-		if second := int(now / time.Second); second < len(rates) {
-			for due += rates[second] * tick.Seconds(); due >= 1; due-- {
-				j := &replayJob{submitted: now, waiting: 8}
-				all, open = append(all, j), append(open, j)
+		for _, w := range slices.Sorted(maps.Keys(rates)) {
+			if second := int(now / time.Second); second < len(rates[w]) {
+				for due[w] += rates[w][second] * tick.Seconds(); due[w] >= 1; due[w]-- {
+					j := &replayJob{workspace: w, submitted: now, waiting: 8}
+					all, open = append(all, j), append(open, j)
+				}
 			}
 		}
 		runs = slices.DeleteFunc(runs, func(r run) bool {
@@ -72,6 +82,14 @@
 				room.UsedLate++
 			}
 		}
+		claims := map[string]Claim{}
+		for _, j := range open {
+			claims[j.workspace] = Claim{weights[j.workspace], claims[j.workspace].Used + int64(j.running)}
+		}
+		beyond := BeyondShare(claims)
+		for _, j := range open {
+			j.beyond = beyond[j.workspace]
+		}
 		slices.SortStableFunc(open, func(a, b *replayJob) int { return position(a, now).Compare(position(b, now)) })
 		for _, j := range open {
 			class := position(j, now).Class
@@ -87,8 +105,9 @@
 			}
 		}
 	}
-	var o outcomes
+	results := map[string]outcomes{}
 	for _, j := range all {
+		o := results[j.workspace]
 		switch took := j.endedAt - j.submitted; {
 		case j.endedAt > 0 && took <= objective:
 			o.onTime++
@@ -97,8 +116,9 @@
 		default:
 			o.useless++
 		}
+		results[j.workspace] = o
 	}
-	return o
+	return results
 }
 
 // lateLast is the order in which what is late comes last, also if it has begun, by the time of submission, and always leaves a quarter of the pool
@@ -154,6 +174,30 @@
 	assert.LessOrEqual(t, now.useless, before.useless)
 }
 
+// TestWorkspaceFarBeyondItsUsual guards against a workspace that sends many times its usual, more than the pool does, and by that makes the jobs of others
+// late. It pays for it itself, but gets all the room that others leave.
+func TestWorkspaceFarBeyondItsUsual(t *testing.T) {
+	usual := rates(0.2, 20, 0.2, 0)
+	hot := append(rates(0.2, 4, 1.6, 6), rates(0.2, 10, 0, 0)...)
+	load := map[string][]float64{"a": usual, "b": usual, "hot": hot}
+	alone := replayShares(map[string][]float64{"a": usual, "b": usual, "hot": usual}, nil, (*replayJob).position, Room.Admits)
+	before := replayShares(load, nil, (*replayJob).position, Room.Admits)
+	now := replayShares(load, map[string]float64{"a": 1, "b": 1, "hot": 1}, (*replayJob).position, Room.Admits)
+	t.Logf("no shares: %+v, shares: %+v", before, now)
+	assert.Less(t, before["a"].onTime, alone["a"].onTime)
+	assert.Equal(t, alone["a"], now["a"])
+	assert.Equal(t, alone["b"], now["b"])
+	total := func(o map[string]outcomes) int { return o["a"].onTime + o["b"].onTime + o["hot"].onTime }
+	assert.GreaterOrEqual(t, total(now), total(before)*9/10)
+}
+
+func TestBeyondShare(t *testing.T) {
+	beyond := BeyondShare(map[string]Claim{"small": {1, 10}, "large": {3, 25}, "waits": {1, 0}, "none": {0, 500}})
+	assert.Equal(t, map[string]bool{"small": true, "large": true}, beyond)
+	assert.Empty(t, BeyondShare(map[string]Claim{"alone": {1, 50}}), "what nobody else claims is its own")
+	assert.Empty(t, BeyondShare(map[string]Claim{"a": {1, 20}, "b": {2, 40}}))
+}
+
 func TestClasses(t *testing.T) {
 	part := func(age time.Duration) Job {
 		return Job{Submitted: -age, Parts: []Part{{Due: -age, Objective: 3 * time.Second, Remaining: time.Second}}}
