--- a/dispatch/ranking.go
+++ b/dispatch/ranking.go
@@ -112,7 +112,7 @@
 
 // isBeyondShare reports whether the workspace of a job had used up its share when the job arrived, or uses more of its pool than its share.
 func (c *Core) isBeyondShare(j *job) bool {
-	return j.overShare || c.beyondShare[workspacePool{c.serviceOf(j), j.sub.Workspace}]
+	return j.overShare || len(c.beyondShare) > 0 && c.beyondShare[workspacePool{c.serviceOf(j), j.sub.Workspace}]
 }
 
 // workspacePool names a workspace and the service on whose servers its jobs run.
@@ -122,26 +122,22 @@
 func (c *Core) updateBeyondShare(waiting map[string][]*job) {
 	clear(c.beyondShare)
 	claims := map[string]map[string]waitorder.Claim{}
-	claim := func(service, workspace string, used int64) {
-		if claims[service] == nil {
-			claims[service] = map[string]waitorder.Claim{}
-		}
-		claims[service][workspace] = waitorder.Claim{Weight: c.weights[workspace], Used: used}
-	}
 	for service, waitingJobs := range waiting {
+		inPool := map[string]waitorder.Claim{}
 		for _, j := range waitingJobs {
-			if !j.sub.Spec.LongRunning() {
-				claim(service, j.sub.Workspace, 0)
+			if _, known := inPool[j.sub.Workspace]; !known && !j.sub.Spec.LongRunning() {
+				inPool[j.sub.Workspace] = waitorder.Claim{Weight: c.weights[j.sub.Workspace]}
 			}
 		}
+		claims[service] = inPool
 	}
 	for k, used := range c.poolUsage {
-		if len(waiting[k.service]) > 0 {
-			claim(k.service, k.workspace, used)
+		if inPool := claims[k.service]; inPool != nil {
+			inPool[k.workspace] = waitorder.Claim{Weight: c.weights[k.workspace], Used: used}
 		}
 	}
-	for service, cl := range claims {
-		for workspace := range waitorder.BeyondShare(cl) {
+	for service, inPool := range claims {
+		for workspace := range waitorder.BeyondShare(inPool) {
 			c.beyondShare[workspacePool{service, workspace}] = true
 		}
 	}
