Let rejected callers return in turn

All who were rejected within a moment were told to return when the accepted work was done, and came back within 2 s, to be rejected again. The work of those who have been told to return now counts in the time that the next one is told. loadshed.TestRejectedCallersReturnInTurn fails without it: up to 24.5 s of work for ten servers came back within a second, now under 12 s.

TestJobsThatCannotBeOnTimeAreRejected has two more checks.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -40,8 +40,12 @@
 	at      time.Duration
 }
 
-// rejection records when a caller was first rejected, and when it was last told to retry.
-type rejection struct{ firstAt, retryAt time.Duration }
+// rejection records when a caller was first rejected, when it was last told to retry, and the server time of its job.
+type rejection struct {
+	firstAt, retryAt time.Duration
+	service          string
+	backlog          time.Duration
+}
 
 // admission is the state behind the decisions on new jobs.
 type admission struct {
@@ -79,7 +83,7 @@
 		v = loadshed.Decide(c.currentLoad(a.service), c.admissionJob(o, a.demand))
 	}
 	if !v.Accepted {
-		c.reject(j, v)
+		c.reject(j, v, a)
 		return v
 	}
 	delete(c.admission.rejections, sub.ID)
@@ -119,13 +123,18 @@
 }
 
 // reject records that a job was rejected, and when its caller was told to retry.
-func (c *Core) reject(j *job, v loadshed.Verdict) {
+func (c *Core) reject(j *job, v loadshed.Verdict, a admittedJob) {
 	r, known := c.admission.rejections[j.sub.ID]
 	if !known {
 		r.firstAt = c.now
 		c.addArrival(j) // the autoscaler must provide machines for what is submitted, not only for what is accepted
 	}
-	r.retryAt = c.now + v.Return
+	if c.now >= r.retryAt {
+		load := c.admission.loads[a.service]
+		load.Returning += a.backlog
+		c.admission.loads[a.service] = load
+	}
+	r.retryAt, r.service, r.backlog = c.now+v.Return, a.service, a.backlog
 	c.admission.rejections[j.sub.ID] = r
 	c.count("job_turned_away_" + string(v.Reason))
 }
@@ -141,6 +150,13 @@
 	a.loads = map[string]loadshed.ServiceLoad{}
 	c.measureServers()
 	c.measureJobs()
+	for _, r := range a.rejections {
+		if r.retryAt > c.now {
+			load := a.loads[r.service]
+			load.Returning += r.backlog
+			a.loads[r.service] = load
+		}
+	}
 }
 
 // expire removes the entries of jobs that have arrived or ended, and entries that are too old.
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -121,6 +121,7 @@
 	assert.Greater(t, accepted, 0, "late jobs yield to jobs that can be on time")
 	assert.Less(t, accepted, 15, "accepted jobs that have not arrived count too")
 	require.NotEmpty(t, refused)
+	assert.Greater(t, sim.core.currentLoad("pool").Returning, time.Duration(0), "later callers are told to return after those")
 	assert.Greater(t, sim.core.arrivals["pool"].rate.CPU, int64(20_000), "rejected jobs count towards the demand")
 	sim.core.MarkAccepted(refused[1])
 	assert.True(t, sim.core.Admit(quoteJob(sim, refused[1])).Accepted, "it may be stored, so a rejection would be wrong")
@@ -130,6 +131,7 @@
 	sim.takeOver()
 	sim.run(30 * time.Second)
 	assert.True(t, sim.core.Admit(quoteJob(sim, refused[0])).Accepted, "the jobs before it have completed")
+	assert.Zero(t, sim.core.currentLoad("pool").Returning)
 }
 
 // TestOthersDoNotWaitForAWorkspaceFarBeyondItsUsual guards against jobs that wait behind those of a workspace that has sent many times its usual.
--- a/loadshed/loadshed.go
+++ b/loadshed/loadshed.go
@@ -36,6 +36,16 @@
 	FreeServers     float64       // part of Servers on which nothing runs
 	ArrivingServers float64       // servers that become available within ArrivingIn
 	ArrivingIn      time.Duration
+	Returning       time.Duration // server time of the rejected jobs whose callers have been told to retry and haven't yet
+}
+
+// drainTime returns how long the service's servers take for an amount of work.
+func (s ServiceLoad) drainTime(work time.Duration) time.Duration {
+	servers := (s.Servers + s.ArrivingServers) * packingEfficiency
+	if servers <= 0 {
+		return 0
+	}
+	return time.Duration(float64(work) / servers)
 }
 
 // overloaded reports whether the service has more late work than it can finish within maxLateDrain.
@@ -99,8 +109,9 @@
 	if wait == 0 || !s.overloaded() {
 		return Verdict{Accepted: true}
 	}
+	turn := s.drainTime(s.Returning) // those who were rejected earlier return first, and no faster than the servers can take them
 	if j.OverShare {
-		return Verdict{Reason: OverShare, Return: retryDelay(wait, j.ID)}
+		return Verdict{Reason: OverShare, Return: retryDelay(wait+turn, j.ID)}
 	}
 	slack := j.Objective - j.CriticalPath
 	if !j.ScheduledRetry {
@@ -109,7 +120,7 @@
 	if wait <= slack {
 		return Verdict{Accepted: true}
 	}
-	return Verdict{Reason: NoCapacityInTime, Return: retryDelay(wait-max(slack, 0), j.ID)}
+	return Verdict{Reason: NoCapacityInTime, Return: retryDelay(wait-max(slack, 0)+turn, j.ID)}
 }
 
 // retryDelay returns the delay after which a caller should retry, given when capacity is expected to be available.
--- a/loadshed/loadshed_test.go
+++ b/loadshed/loadshed_test.go
@@ -64,6 +64,28 @@
 	assert.LessOrEqual(t, Decide(ServiceLoad{LateBacklog: time.Second}, interactiveJob).Return, maxRetryDelay+retryJitter, "also at a service without servers")
 }
 
+// TestRejectedCallersReturnInTurn guards against callers who were rejected within a moment and return within another one, to be rejected again: they return
+// in the order in which they were rejected, and no faster than the servers can take them.
+func TestRejectedCallersReturnInTurn(t *testing.T) {
+	s := ServiceLoad{Servers: 10, Backlog: 30 * time.Second, LateBacklog: 60 * time.Second}
+	const work = 350 * time.Millisecond // of interactiveJob, in server time
+	returning := map[time.Duration]time.Duration{}
+	var delays []time.Duration
+	for i := range 150 {
+		j := interactiveJob
+		j.ID = fmt.Sprint(i)
+		v := Decide(s, j)
+		require.False(t, v.Accepted)
+		s.Returning += work
+		returning[v.Return.Truncate(time.Second)] += work
+		delays = append(delays, v.Return)
+	}
+	for second, sum := range returning {
+		assert.Less(t, sum, 12*time.Second, "return within the second after %v", second)
+	}
+	assert.Less(t, slices.Max(delays[:30]), slices.Min(delays[120:]))
+}
+
 // TestScheduledRetryIgnoresElapsedTime guards against a caller who is told to retry later and is then rejected because so much time has passed.
 func TestScheduledRetryIgnoresElapsedTime(t *testing.T) {
 	s := ServiceLoad{Servers: 10, Backlog: 5 * time.Second, LateBacklog: 60 * time.Second}
