--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -48,6 +48,9 @@
 	for i := range 120 {
 		assert.Equal(t, jobs.Complete, sim.phase(fmt.Sprintf("%016x", 0x100+i)), "accepted jobs complete even if they are late")
 	}
+	counts := sim.core.TakeEventCounts()
+	assert.Positive(t, counts["job_result_late"])
+	assert.Less(t, counts["job_result_late"]+counts["job_result_useless"], 122)
 }
 
 // TestStartedLateJobsRankBeforeOtherLateJobs guards against many partly executed jobs: late jobs that have started come before late jobs that
@@ -159,5 +162,6 @@
 	}
 	sim.run(30 * time.Second)
 	assert.Empty(t, sim.violations)
+	assert.Positive(t, sim.core.TakeEventCounts()["job_beyond_share"])
 	assert.Empty(t, sim.core.poolUsage)
 }
