--- a/dispatch/interference_test.go
+++ b/dispatch/interference_test.go
@@ -119,8 +119,8 @@
 			if ignored != at {
 				apart++
 			}
-			c.start(tsk, pool.servers[at])
-			pool.taskStarted(at, tsk.step.spec.Allocation())
+			c.start(tsk, pool.servers[at], false)
+			pool.taskStarted(at, tsk.step.spec.Allocation(), false)
 		}
 	}
 	assert.Positive(t, apart)
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -22,10 +22,10 @@
 	maxBackoff = 4 * time.Second
 )
 
-// start assigns a task to a server and orders its start.
-func (c *Core) start(t *task, s *server) {
+// start assigns a task to a server and orders its start. late says whether its job is late.
+func (c *Core) start(t *task, s *server, late bool) {
 	t.startCount++
-	r := &run{task: t, server: s, attempt: c.params.Epoch*attemptsPerEpoch + t.startCount, state: runStarting, sentAt: c.now, progressAt: c.now, pace: 100}
+	r := &run{task: t, server: s, attempt: c.params.Epoch*attemptsPerEpoch + t.startCount, state: runStarting, sentAt: c.now, progressAt: c.now, pace: 100, late: late}
 	c.addRun(r)
 	if t.caution() != startAnywhere {
 		s.trial = r
@@ -34,7 +34,10 @@
 	j := t.step.occurrence.job
 	if !j.started && j.firstStart == 0 {
 		w := c.candidate(j)
-		j.lateAtStart, j.slackAtStart = w.rank.late(), w.slack
+		j.lateAtStart, j.slackAtStart = late, w.Slack
+		if c.isBeyondShare(j) {
+			c.count("job_beyond_share")
+		}
 		j.firstStart = c.now
 	}
 	ticket, _ := c.ticketFor(t.step, s) // chooseServer has checked that the ticket exists if one is needed
@@ -61,11 +64,27 @@
 	s.runs[t.id.String()] = r
 	s.used = s.used.Add(t.step.spec.Allocation())
 	c.countImage(s, t.step.spec, 1)
+	if r.late {
+		s.usedLateCPU += t.step.spec.Allocation().CPU
+	}
 	j := t.step.occurrence.job
+	r.service = s.info.Service
+	c.usePool(r, t.step.spec.Allocation().CPU)
 	j.runCount++
 	c.usage[j.sub.Workspace] = c.usage[j.sub.Workspace].Add(t.step.spec.Need)
 }
 
+// usePool adds processors that a run uses, in thousandths, to the use of its workspace in its pool.
+func (c *Core) usePool(r *run, cpu int64) {
+	if r.task.step.spec.LongRunning {
+		return
+	}
+	k := workspacePool{r.service, r.task.step.occurrence.job.sub.Workspace}
+	if c.poolUsage[k] += cpu; c.poolUsage[k] == 0 {
+		delete(c.poolUsage, k)
+	}
+}
+
 // removeRun removes a run that has certainly ended.
 func (c *Core) removeRun(r *run) {
 	t, s := r.task, r.server
@@ -77,7 +96,11 @@
 	s.idleSince = c.now
 	s.used = s.used.Sub(t.step.spec.Allocation())
 	c.countImage(s, t.step.spec, -1)
+	if r.late {
+		s.usedLateCPU -= t.step.spec.Allocation().CPU
+	}
 	j := t.step.occurrence.job
+	c.usePool(r, -t.step.spec.Allocation().CPU)
 	j.runCount--
 	c.usage[j.sub.Workspace] = c.usage[j.sub.Workspace].Sub(t.step.spec.Need)
 	if t.run == r {
