Count how the machines of the pools spend their time

Seconds of machines in pools are the largest price by far, and nothing told operators which of them served anybody.

autoscale.Usage adds up, for each service, how long its machines worked, held long-running tasks only, were idle or were away.

--- a/events/events.go
+++ b/events/events.go
@@ -51,6 +51,7 @@
 	UpkeepOrdered        = Event{7102, zerolog.InfoLevel, "upkeep of a machine ordered", []string{"machine", "server", "wave", "answer"}, "nothing"}
 	MoveOrdered          = Event{7103, zerolog.InfoLevel, "move of a machine ordered", []string{"machine", "server", "from", "to", "answer"}, "nothing"}
 	WaveComplete         = Event{7104, zerolog.InfoLevel, "all machines of a wave have begun their upkeep", []string{"wave"}, "nothing"}
+	PoolUse              = Event{7105, zerolog.InfoLevel, "use of the machines of a service's pool since the last line", []string{"service", "working_s", "long_running_s", "idle_s", "away_s"}, "if idle_s stays high while nothing waits, see docs/OPERATIONS.md, machines that serve nobody"}
 	SnapshotWritten      = Event{2003, zerolog.InfoLevel, "snapshot written to the log", []string{"offset"}, "nothing"}
 	SnapshotRestored     = Event{2004, zerolog.InfoLevel, "state restored from a snapshot", []string{"offset"}, "nothing"}
 	SnapshotFailed       = Event{2005, zerolog.WarnLevel, "snapshot could not be written", nil, "if it repeats, see docs/operators.md, retention nearly used up"}
@@ -86,7 +87,7 @@
 		MoveStarted, MoveDone,
 		DispatcherClaimed, DispatcherStarted, DispatcherStopped, DispatcherFenced, OrderFenced, StartRefused, ServerProblem, DispatchState, DispatcherHandedOver, JobStored, CallRefused, JobEnded,
 		DependencyLost, DependencyBack, EntryUnreadable, RelayFailed, CallPanicked, ServiceLoad, ProcessorUse,
-		UpkeepOrdered, MoveOrdered, WaveComplete,
+		UpkeepOrdered, MoveOrdered, WaveComplete, PoolUse,
 	}
 }
 
--- a/jobnode/machines.go
+++ b/jobnode/machines.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -62,6 +63,8 @@
 	terminating     map[string]termination    // servers whose machine has an accepted order, until the list shows whether it took effect; by machine
 	listDuration    time.Duration             // of the last read of the machine list
 	reads           dependencyLog
+	usage           autoscale.Usage
+	useLoggedAt     time.Duration
 	firstListed     map[string]listing // when each machine was first listed with its current server
 	tokens          float64            // orders that the platform accepts now
 	tokensAt        time.Duration
@@ -206,6 +209,22 @@
 		orders = append(orders, mc.planUpkeep(c, machines, budget-len(planned))...)
 	})
 	mc.sendMachineOrders(ctx, moves, orders, servers)
+	mc.reportUse()
+}
+
+// reportUse tells operators how the machines of the pools spend their time.
+func (mc *machineController) reportUse() {
+	now := boottime.Now()
+	if now-mc.useLoggedAt < stateLogInterval {
+		return
+	}
+	mc.useLoggedAt = now
+	use := mc.usage.Take()
+	for _, service := range slices.Sorted(maps.Keys(use)) {
+		u := use[service]
+		mc.node.metrics.addPoolUse(service, u)
+		events.Log(mc.log, events.PoolUse, service, u[autoscale.Working].Seconds(), u[autoscale.LongRunning].Seconds(), u[autoscale.Idle].Seconds(), u[autoscale.Away].Seconds())
+	}
 }
 
 // sendMachineOrders sends moves and upkeep orders, once the ledger shows that this dispatcher orders those machines.
@@ -293,7 +312,9 @@
 // planMoves returns the moves to order now.
 func (mc *machineController) planMoves(c *dispatch.Core, machines []jobs.Machine, servers map[string]string, limit int) []autoscale.Move {
 	mc.autoscaler.SetParking(!mc.awaitingFirstDemand())
-	moves := mc.autoscaler.Plan(boottime.Now(), mc.poolStates(c), mc.moveCandidates(c, machines))
+	pools, candidates := mc.poolStates(c), mc.moveCandidates(c, machines)
+	mc.usage.Observe(boottime.Now(), pools, candidates)
+	moves := mc.autoscaler.Plan(boottime.Now(), pools, candidates)
 	released := map[string]bool{}
 	for _, machine := range mc.autoscaler.Released() {
 		released[servers[machine]] = true
--- a/jobnode/metrics.go
+++ b/jobnode/metrics.go
@@ -5,6 +5,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"example.org/comfreyrouter/autoscale"
 )
 
 // nodeMetrics holds the counters of a node.
@@ -13,6 +15,7 @@
 	accepted       prometheus.Counter
 	refused        *prometheus.CounterVec
 	dispatchEvents *prometheus.CounterVec
+	poolUse        *prometheus.CounterVec
 }
 
 func newMetrics() *nodeMetrics {
@@ -25,8 +28,11 @@
 		dispatchEvents: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "comfreyrouter_dispatch_events_total", Help: "Events and decisions of this node's dispatcher, by event.",
 		}, []string{"event"}),
+		poolUse: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfreyrouter_pool_machine_seconds_total", Help: "Seconds of machines in pools that aren't spare while this node was the dispatcher, by service and state.",
+		}, []string{"service", "state"}),
 	}
-	m.registry.MustRegister(m.accepted, m.refused, m.dispatchEvents)
+	m.registry.MustRegister(m.accepted, m.refused, m.dispatchEvents, m.poolUse)
 	return m
 }
 
@@ -37,6 +43,13 @@
 	}
 }
 
+// addPoolUse adds how long the machines of a service's pool were in each state.
+func (m *nodeMetrics) addPoolUse(service string, use autoscale.Use) {
+	for _, state := range autoscale.States() {
+		m.poolUse.WithLabelValues(service, string(state)).Add(use[state].Seconds())
+	}
+}
+
 func (m *nodeMetrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
