Let the machines for an expected peak come by degrees

Cause: a forecast peak was one need, the largest within two seconds of its start, and all machines for it were ordered to be there at the start.

Change: the opening of a peak is a need for each quarter of a second, and each machine is ordered when the time until its need is the time that it takes to come, one step early since moves are planned about once a step.

TestPeakNeedIsForecast compares the last need of the opening, which is the single need of before.

--- a/autoscale/autoscale.go
+++ b/autoscale/autoscale.go
@@ -37,10 +37,11 @@
 	Spare bool
 	// Need is the total need of the tasks that are running, waiting or about to arrive.
 	Need jobs.Resources
-	// PeakNeed is the need expected for the pool's next demand peak, which begins in PeakIn; it includes the need of long-running tasks but of no
-	// other present task. It is zero if no peak is expected.
-	PeakNeed jobs.Resources
-	PeakIn   time.Duration
+	// PeakNeeds are the needs expected for the pool's next demand peak, which begins in PeakIn, each for PeakStep after the one before. They include
+	// the need of long-running tasks but of no other present task. There are none if no peak is expected.
+	PeakNeeds []jobs.Resources
+	PeakIn    time.Duration
+	PeakStep  time.Duration
 	// MinMachines is the minimum number of machines, for tasks that must run on separate machines.
 	MinMachines int
 }
@@ -226,9 +227,7 @@
 	for _, s := range states {
 		slices.SortFunc(s.idle, func(a, b Machine) int { return cmp.Or(cmp.Compare(b.IdleFor, a.IdleFor), cmp.Compare(a.ID, b.ID)) })
 		s.desired = max(s.pool.MinMachines, machinesFor(s.pool.Need, capacity))
-		if peak := machinesFor(s.pool.PeakNeed, capacity); peak > s.desired && s.pool.PeakIn <= leadTime(peak-s.current) {
-			s.desired = peak
-		}
+		s.desired = max(s.desired, machinesForPeak(s.pool, capacity, s.current))
 		if s.pool.Spare {
 			s.desired = 0
 		}
@@ -236,6 +235,19 @@
 	return states
 }
 
+// machinesForPeak returns how many machines a pool must have or be getting now so that each of its needs in the next peak is met when it arises.
+func machinesForPeak(pool Pool, capacity jobs.Resources, current int) int {
+	machines := 0
+	for i, need := range pool.PeakNeeds {
+		n := machinesFor(need, capacity)
+		if pool.PeakIn+time.Duration(i-1)*pool.PeakStep > leadTime(n-current) { // one step early, since moves are planned about once a step
+			break
+		}
+		machines = n
+	}
+	return machines
+}
+
 // leadTime returns how long before a peak the moves of the missing machines have to begin.
 func leadTime(missing int) time.Duration {
 	return MoveLatency + time.Duration(max(missing, 0))*moveInterval
--- a/forecast/forecast.go
+++ b/forecast/forecast.go
@@ -100,8 +100,8 @@
 // pastPeak is a period in which one service dominated the demand.
 type pastPeak struct {
 	service string
-	start   int64          // bin
-	opening jobs.Resources // largest need within openingBins of the start
+	start   int64            // bin
+	opening []jobs.Resources // need in each of the first openingBins bins; later ones of a peak that has just begun aren't known
 }
 
 // dominantService returns the service that dominates the demand, or the empty string if none does.
@@ -145,9 +145,9 @@
 		if bins == confirmationBins && (len(peaks) == 0 || peaks[len(peaks)-1].service != service) {
 			peaks = append(peaks, pastPeak{service: service, start: k - confirmationBins + 1})
 		}
-		if n := len(peaks); n > 0 && peaks[n-1].service == service && k <= peaks[n-1].start+openingBins {
-			peaks[n-1].opening = componentwiseMax(peaks[n-1].opening, rates[service])
-		}
+	}
+	for i := range peaks {
+		peaks[i].opening = h.opening(peaks[i].service, peaks[i].start)
 	}
 	return peaks
 }
@@ -157,13 +157,29 @@
 	return jobs.Resources{CPU: max(a.CPU, b.CPU), MemoryMB: max(a.MemoryMB, b.MemoryMB), GPU: max(a.GPU, b.GPU)}
 }
 
+// opening returns the need of a service in each of the first openingBins bins of a peak, as far as the history goes. It doesn't fall: machines that
+// have come stay for the rest of the opening.
+func (h *History) opening(service string, start int64) []jobs.Resources {
+	var needs []jobs.Resources
+	var largest jobs.Resources
+	for k := start; k < start+openingBins && k <= h.last; k++ {
+		largest = componentwiseMax(largest, h.rates(k)[service])
+		needs = append(needs, largest)
+	}
+	return needs
+}
+
 // Peak is an expected peak of the demand for a service.
 type Peak struct {
 	Service string
 	InMS    int64 // time until the peak begins; negative if it is late
-	Need    jobs.Resources
+	// Needs is the expected need in each BinMS from the start of the peak. It doesn't fall.
+	Needs []jobs.Resources
 }
 
+// BinMS is the time, in milliseconds, that each of the needs of a peak stands for.
+const BinMS = binMS
+
 // NextPeaks returns the peak that is expected next, at a Unix time in milliseconds. It returns nothing if the peaks so far allow no prediction, and
 // one peak for each of several services if none of these has had a peak yet.
 func (h *History) NextPeaks(nowMS int64) []Peak {
@@ -196,14 +212,20 @@
 	return next
 }
 
-// divide returns the resources divided by n.
-func divide(r jobs.Resources, n int64) jobs.Resources {
-	return jobs.Resources{CPU: r.CPU / n, MemoryMB: r.MemoryMB / n, GPU: r.GPU / n}
+// divide returns the needs divided by n.
+func divide(needs []jobs.Resources, n int64) []jobs.Resources {
+	divided := make([]jobs.Resources, 0, len(needs))
+	for _, r := range needs {
+		divided = append(divided, jobs.Resources{CPU: r.CPU / n, MemoryMB: r.MemoryMB / n, GPU: r.GPU / n})
+	}
+	return divided
 }
 
-// medianOpening returns the opening of the peak that is the median by CPU need.
-func medianOpening(peaks []pastPeak) jobs.Resources {
-	sorted := slices.SortedFunc(slices.Values(peaks), func(a, b pastPeak) int { return cmp.Compare(a.opening.CPU, b.opening.CPU) })
+// medianOpening returns the opening of the peak that is the median by the CPU need at its end.
+func medianOpening(peaks []pastPeak) []jobs.Resources {
+	sorted := slices.SortedFunc(slices.Values(peaks), func(a, b pastPeak) int {
+		return cmp.Compare(a.opening[len(a.opening)-1].CPU, b.opening[len(b.opening)-1].CPU)
+	})
 	return sorted[len(sorted)/2].opening
 }
 
--- a/forecast/forecast_test.go
+++ b/forecast/forecast_test.go
@@ -88,7 +88,7 @@
 		next := h.NextPeaks(startMS + at)
 		require.Len(t, next, 1)
 		largest := int64(18 * 6 * 8 * 4000)
-		assert.InDelta(t, largest*6/10, next[0].Need.CPU, float64(largest)/4)
+		assert.InDelta(t, largest*6/10, next[0].Needs[len(next[0].Needs)-1].CPU, float64(largest)/4)
 	})
 }
 
@@ -109,6 +109,21 @@
 	})
 }
 
+// TestOpeningOfAPeakIsForecastByDegrees guards against a forecast that asks for all machines of the first seconds of a peak at its start.
+func TestOpeningOfAPeakIsForecastByDegrees(t *testing.T) {
+	simulate(4, 4, 10000, 60000, 18, func(h *History, at int64) {
+		if at != 49000 {
+			return
+		}
+		next := h.NextPeaks(startMS + at)
+		require.Len(t, next, 1)
+		needs := next[0].Needs
+		require.Len(t, needs, openingBins)
+		assert.Less(t, needs[0].CPU, needs[openingBins-1].CPU/2)
+		assert.IsNonDecreasing(t, []int64{needs[0].CPU, needs[2].CPU, needs[4].CPU, needs[6].CPU})
+	})
+}
+
 // TestNoForecastWithoutPeaks guards against moving machines for a pattern that isn't there: with even demand, with a single service, and with no
 // jobs at all.
 func TestNoForecastWithoutPeaks(t *testing.T) {
--- a/jobnode/machines.go
+++ b/jobnode/machines.go
@@ -361,7 +361,10 @@
 		pool := autoscale.Pool{Name: name, Spare: s.Spare, Need: d.Need, MinMachines: max(d.MinServers, minPoolMachines)}
 		pool.Need = pool.Need.Add(rises[name])
 		if p, expected := peaks[name]; expected {
-			pool.PeakNeed, pool.PeakIn = d.LongRunning.Add(p.Need), jobs.Milliseconds(p.InMS)
+			pool.PeakIn, pool.PeakStep = jobs.Milliseconds(p.InMS), jobs.Milliseconds(forecast.BinMS)
+			for _, need := range p.Needs {
+				pool.PeakNeeds = append(pool.PeakNeeds, d.LongRunning.Add(need))
+			}
 		}
 		pools = append(pools, pool)
 	}
