--- a/events/events.go
+++ b/events/events.go
@@ -57,6 +57,7 @@
 	StartsHeld           = Event{7204, zerolog.WarnLevel, "no task starts, because a request to evacuate a data centre may not have been read", []string{"view_age_s"}, "see docs/OPERATIONS.md, what a lost dependency looks like"}
 	StartsResumed        = Event{7205, zerolog.InfoLevel, "tasks start again: the operators' records have been read", nil, "nothing"}
 	WaveComplete         = Event{7104, zerolog.InfoLevel, "all machines of a wave have begun their upkeep", []string{"wave"}, "nothing"}
+	PoolUse              = Event{7105, zerolog.InfoLevel, "use of the machines of a service's pool since the last line", []string{"service", "working_s", "long_running_s", "idle_s", "away_s"}, "if idle_s stays high while nothing waits, see docs/OPERATIONS.md, machines that serve nobody"}
 	SnapshotWritten      = Event{2003, zerolog.InfoLevel, "snapshot written to the log", []string{"offset"}, "nothing"}
 	SnapshotRestored     = Event{2004, zerolog.InfoLevel, "state restored from a snapshot", []string{"offset"}, "nothing"}
 	SnapshotFailed       = Event{2005, zerolog.WarnLevel, "snapshot could not be written", nil, "if it repeats, see docs/operators.md, retention nearly used up"}
@@ -92,7 +93,7 @@
 		MoveStarted, MoveDone,
 		DispatcherClaimed, DispatcherStarted, DispatcherStopped, DispatcherFenced, OrderFenced, StartRefused, ServerProblem, DispatchState, DispatcherHandedOver, JobStored, CallRefused, JobEnded,
 		DependencyLost, DependencyBack, EntryUnreadable, RelayFailed, CallPanicked, ServiceLoad, ProcessorUse, InterferenceChanged,
-		UpkeepOrdered, MoveOrdered, WaveComplete,
+		UpkeepOrdered, MoveOrdered, WaveComplete, PoolUse,
 		EvacuationRequested, EvacuationWithdrawn, EvacuationUnknown, StartsHeld, StartsResumed,
 	}
 }
--- a/jobnode/metrics.go
+++ b/jobnode/metrics.go
@@ -5,6 +5,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"example.org/comfreyrouter/autoscale"
 )
 
 // nodeMetrics holds the counters of a node.
@@ -14,6 +16,7 @@
 	refused        *prometheus.CounterVec
 	dispatchEvents *prometheus.CounterVec
 	interference   *prometheus.GaugeVec
+	poolUse        *prometheus.CounterVec
 }
 
 func newMetrics() *nodeMetrics {
@@ -29,8 +32,11 @@
 		interference: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "comfreyrouter_interference_factor", Help: "Factor by which one task of the image beside slows down tasks of an image, while this node dispatches.",
 		}, []string{"image", "beside"}),
+		poolUse: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfreyrouter_pool_machine_seconds_total", Help: "Seconds of machines in pools that aren't spare while this node was the dispatcher, by service and state.",
+		}, []string{"service", "state"}),
 	}
-	m.registry.MustRegister(m.accepted, m.refused, m.dispatchEvents, m.interference)
+	m.registry.MustRegister(m.accepted, m.refused, m.dispatchEvents, m.interference, m.poolUse)
 	return m
 }
 
@@ -41,6 +47,13 @@
 	}
 }
 
+// addPoolUse adds how long the machines of a service's pool were in each state.
+func (m *nodeMetrics) addPoolUse(service string, use autoscale.Use) {
+	for _, state := range autoscale.States() {
+		m.poolUse.WithLabelValues(service, string(state)).Add(use[state].Seconds())
+	}
+}
+
 func (m *nodeMetrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
