--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -19,7 +19,7 @@
 	failuresToBackOff = 3
 	// minBackoff and maxBackoff bound the time for which a failing server gets no work. It doubles with each failed probe.
 	minBackoff = 2 * time.Second
-	maxBackoff = 8 * time.Second
+	maxBackoff = 4 * time.Second
 )
 
 // start assigns a task to a server and orders its start.
@@ -114,13 +114,19 @@
 
 // StartAnswered handles the answer to a start that was sent to an incarnation of a server.
 func (c *Core) StartAnswered(asked jobs.Server, key string, attempt int64, result jobs.StartResult) {
+	r := c.findRun(asked.ID, key, attempt)
 	if result == jobs.StartUnknown {
 		c.addUnansweredStart(asked, key, attempt)
+		sent := c.now // at the latest
+		if r != nil {
+			sent = r.sentAt
+		}
+		c.grantUnanswered(asked, sent)
 	}
-	r := c.findRun(asked.ID, key, attempt)
 	if r == nil {
 		return
 	}
+	r.answered = true
 	if r.server.bornMS != asked.BornMS && asked.BornMS != 0 {
 		if result != jobs.StartUnknown {
 			c.removeRun(r) // it was lost with a former incarnation, or never began
@@ -148,6 +154,7 @@
 		r.state = runUnknown
 		c.countServerFailure(r.server)
 	case jobs.StartWrongInstance:
+		c.removeRun(r) // it didn't begin
 		c.ServerReplaced(r.server.target())
 	default:
 		c.startRefused(r, result)
@@ -241,7 +248,7 @@
 func (c *Core) adopt(s *server, a jobs.RunState) {
 	t := c.findTask(a.Task)
 	if t != nil && t.run == nil && !t.done && !t.step.occurrence.job.cancelled && !t.step.occurrence.job.failed && a.Attempt/attemptsPerEpoch < c.params.Epoch {
-		r := &run{task: t, server: s, attempt: a.Attempt, state: runActive, sentAt: c.now, confirmedAt: c.now, activeAt: c.now, progressAt: c.now, percent: a.Percent, pace: 100, begun: true, survived: true}
+		r := &run{task: t, server: s, attempt: a.Attempt, state: runActive, sentAt: c.now, confirmedAt: c.now, activeAt: c.now, progressAt: c.now, percent: a.Percent, pace: 100, answered: true, begun: true, survived: true}
 		c.addRun(r)
 		c.markStarted(t.step.occurrence.job)
 		t.recordCheckpoint(checkpoint{a.Checkpoint, a.Attempt, a.Percent})
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -9,7 +9,7 @@
 )
 
 func (c *Core) newServer(info jobs.Server) *server {
-	s := &server{info: info, runs: map[string]*run{}, bornMS: info.BornMS, idleSince: c.now, fillerPace: initialFillerPace}
+	s := &server{info: info, runs: map[string]*run{}, bornMS: info.BornMS, knownAt: c.now, idleSince: c.now, fillerPace: initialFillerPace}
 	c.servers[info.ID] = s
 	c.addToMachine(s)
 	c.awaitFormerLeases(s)
@@ -49,12 +49,12 @@
 }
 
 // succeed makes an incarnation the present one.
-func (s *server) succeed(bornMS int64) {
+func (s *server) succeed(bornMS int64, now time.Duration) {
 	s.former = append(slices.DeleteFunc(s.former, func(f int64) bool { return f == bornMS }), s.bornMS)
 	if n := len(s.former); n > maxFormer {
 		s.former = slices.Delete(s.former, 0, n-maxFormer)
 	}
-	s.bornMS = bornMS
+	s.bornMS, s.knownAt = bornMS, now
 }
 
 // addToMachine and removeFromMachine keep the index of servers by machine.
@@ -95,10 +95,11 @@
 	c.resolveSilence(s)
 }
 
-// removePreviousServers removes the servers that ran on the machine of s before s, because everything on them has ended.
+// removePreviousServers removes the servers that ran on the machine of s before s, because everything on them has ended. One that has answered a call which
+// was sent after s had become known is later, though the machine's time of day may have gone back and it states an earlier start.
 func (c *Core) removePreviousServers(s *server) {
 	for _, o := range slices.Clone(c.byMachine[s.info.Machine]) {
-		if o != s && o.bornMS < s.bornMS && !o.terminated {
+		if o != s && o.bornMS < s.bornMS && o.sentAt < s.knownAt && !o.terminated {
 			c.reportProblem(o, "machine_has_new_server")
 			c.serverCrashed(o)
 			c.serverTerminated(o)
@@ -156,8 +157,13 @@
 func (c *Core) removeServer(s *server) {
 	delete(c.servers, s.info.ID)
 	c.removeFromMachine(s)
-	c.rememberRemoved(s)
-	if s.inLedger {
+	stored := c.rememberRemoved(s)
+	switch {
+	case stored:
+		c.records = append(c.records, ledger.ServerRecord(s.info.ID, ledger.Server{
+			Service: s.info.Service, Address: s.info.Address, BornMS: s.bornMS, Machine: s.info.Machine, FormerLeasesUntilMS: c.formerLeasesUntilMS(s), Removed: true,
+		}))
+	case s.inLedger:
 		c.records = append(c.records, ledger.ServerRemovedRecord(s.info.ID))
 	}
 }
@@ -212,6 +218,7 @@
 	// An unanswered renewal may still have arrived. The lease of an unresponsive server isn't extended, so that it expires eventually.
 	if s.recvAt > 0 && !s.unresponsive {
 		r.LeaseUntil, r.Wait = c.grantLease(s), s.renewalWait(r.WarmingUp)
+		s.renewalSentAt = c.now
 	}
 	return r, true
 }
@@ -237,7 +244,6 @@
 	until := s.clockMS + (c.now - s.recvAt).Milliseconds() + c.params.Lease.Milliseconds()
 	remaining := time.Duration(until-s.clockMS) * time.Millisecond
 	s.leasesExpireAt = max(s.leasesExpireAt, s.recvAt+maxElapsed(remaining)+leaseMargin)
-	s.grantedAt = c.now
 	return until
 }
 
@@ -252,6 +258,7 @@
 	if s == nil {
 		return
 	}
+	s.unansweredAt, s.renewalSentAt = max(s.unansweredAt, s.renewalSentAt), 0
 	if s.unresponsive {
 		c.serverSilent(s) // a single renewal may be lost
 	}
@@ -272,15 +279,39 @@
 	if s == nil || s.bornMS != asked.BornMS || s.info.Address != asked.Address {
 		return
 	}
+	if s.hasUnansweredStart() && c.now < s.leasesEnd() {
+		c.awaitReturn(s)
+		return
+	}
 	c.reportProblem(s, "server_gone")
 	c.serverCrashed(s)
 	c.serverTerminated(s)
 }
 
+// hasUnansweredStart reports whether a run of a server may not have begun yet, so that the server may carry out its start later.
+func (s *server) hasUnansweredStart() bool {
+	for _, r := range s.runs {
+		if !r.begun && !r.stopConfirmed {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitReturn gives up the runs that had begun on a server which has ended. The others are kept until their leases have expired: the server may come back
+// under its id at another address and carry out their starts before this dispatcher reaches it.
+func (c *Core) awaitReturn(s *server) {
+	s.unresponsive = true
+	c.reportProblem(s, "server_gone")
+	c.serverCrashed(s)
+	c.dropBegunRuns(s)
+}
+
 // ServerRestarted records that another incarnation of a server has answered, which hasn't got the call that was meant for the one that was asked. That one
 // had begun before it was asked, so the other one is later, even if the server's time of day has gone back and it states an earlier start.
 func (c *Core) ServerRestarted(asked jobs.Server, bornMS int64) {
 	if s := c.servers[asked.ID]; s != nil && s.bornMS == asked.BornMS && bornMS != s.bornMS {
+		s.renewalSentAt = 0
 		c.serverRestarted(s, bornMS)
 	}
 }
@@ -310,6 +341,7 @@
 	if s == nil {
 		return
 	}
+	s.renewalSentAt = 0
 	if r.BornMS != 0 && s.bornMS != 0 && r.BornMS != s.bornMS {
 		if !s.namesSuccessor(r.BornMS) {
 			return
@@ -320,6 +352,9 @@
 		s.bornMS = r.BornMS
 	}
 	previous := s.recvAt
+	if s.recvAt == 0 {
+		c.fencePredecessors(s)
+	}
 	s.clockMS, s.sentAt, s.recvAt, s.heardAt, s.unresponsive = r.ClockMS, sent, c.now, c.now, false
 	c.forgetSilence(id) // it was only cut off
 	c.count("report")
--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -122,6 +122,7 @@
 	d.core = dispatch.New(dispatch.Params{
 		Epoch: d.role.Epoch, Lease: min(runLease, bounds.MaxLease), MaxLease: bounds.MaxLease, PredecessorsUntil: d.predecessors.ordersUntil(d.follower), EarlyStart: bounds.EarlyStart,
 		Interference: interferenceModes[d.node.settings.Interference],
+		ServerSeenAt: d.follower.serverSeenAt,
 	}, d.follower.ledger, config, boottime.Now(), time.Now().UnixMilli())
 	d.setEvacuated(d.core)
 	d.follower.changes = nil
