--- a/events/events.go
+++ b/events/events.go
@@ -71,6 +71,10 @@
 	DrainDone            = Event{6003, zerolog.InfoLevel, "server is back in service", []string{"server", "wave"}, "nothing"}
 	DrainAbandoned       = Event{6004, zerolog.WarnLevel, "drain abandoned to keep an availability budget", []string{"server", "wave", "reason"}, "nothing; it is retried later"}
 	MoveStarted          = Event{6101, zerolog.InfoLevel, "move started", []string{"server", "from", "to"}, "nothing"}
+	HeadsRefused         = Event{8001, zerolog.WarnLevel, "requests were refused because their heads are over the limit", []string{"listener", "count"}, "find out who sends them; see docs/operators.md, clients beyond the limits"}
+	MemoryRefused        = Event{8002, zerolog.WarnLevel, "requests were refused because the unfinished ones hold all memory that is set aside for them", []string{"listener", "count"}, "see docs/operators.md, clients beyond the limits"}
+	ConnectionsRefused   = Event{8003, zerolog.WarnLevel, "connections were closed because too many are open", []string{"listener", "count"}, "see docs/operators.md, clients beyond the limits"}
+	SlowRefused          = Event{8004, zerolog.WarnLevel, "clients were disconnected because they stalled", []string{"listener", "count"}, "see docs/operators.md, clients beyond the limits"}
 	MoveDone             = Event{6102, zerolog.InfoLevel, "move done", []string{"server", "to"}, "nothing"}
 )
 
@@ -87,6 +91,7 @@
 		DispatcherClaimed, DispatcherStarted, DispatcherStopped, DispatcherFenced, OrderFenced, StartRefused, ServerProblem, DispatchState, DispatcherHandedOver, JobStored, CallRefused, JobEnded,
 		DependencyLost, DependencyBack, EntryUnreadable, RelayFailed, CallPanicked, ServiceLoad, ProcessorUse,
 		UpkeepOrdered, MoveOrdered, WaveComplete,
+		HeadsRefused, MemoryRefused, ConnectionsRefused, SlowRefused,
 	}
 }
 
