Serve nodes and entry VMs within bounds on their clients

All listeners that speak HTTP are served through package ingress, sized from memory_mb and descriptors of a node, and from the limits of an entry VM. The limit of a head is max_header_bytes of the operators' configuration, which nobody read, or of an entry VM's settings. Bodies are read into memory that grows with what has arrived. A node collects garbage more often from half of memory_mb on also while it doesn't dispatch.

--- a/callerapi/callerapi.go
+++ b/callerapi/callerapi.go
@@ -3,7 +3,7 @@
 
 import (
 	"context"
-	"io"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,6 +16,7 @@
 	"example.org/comfreyrouter/claims"
 	"example.org/comfreyrouter/entry"
 	"example.org/comfreyrouter/errkind"
+	"example.org/comfreyrouter/internal/ingress"
 )
 
 // Names of the HTTP headers of the callers' interface.
@@ -196,8 +197,11 @@
 	}
 	// An error is ignored: response writers that don't support read deadlines, as in tests, are read without one.
 	_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Now().Add(s.options.BodyTimeout))
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	body, err := ingress.ReadBody(r, limit)
 	_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Time{})
+	if errors.Is(err, ingress.ErrRefused) {
+		return reserved, nil, errkind.New(errkind.QueueFull, "%v", err)
+	}
 	if err != nil {
 		return reserved, nil, errkind.New(errkind.BadRequest, "the body could not be read: %v", err)
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -11,7 +11,6 @@
 
 	"github.com/oklog/ulid/v2"
 	"github.com/rs/zerolog"
-	"golang.org/x/net/netutil"
 
 	"example.org/comfreyrouter/backend"
 	"example.org/comfreyrouter/callerapi"
@@ -20,6 +19,7 @@
 	"example.org/comfreyrouter/events"
 	"example.org/comfreyrouter/fleet"
 	"example.org/comfreyrouter/internal/httpserve"
+	"example.org/comfreyrouter/internal/ingress"
 	"example.org/comfreyrouter/kernel"
 	"example.org/comfreyrouter/logclient"
 	"example.org/comfreyrouter/metrics"
@@ -165,7 +165,7 @@
 			New:       d.newReconciler,
 		},
 		{Name: serviceWatch, DependsOn: []string{serviceStore, serviceEngine, serviceFollower}, New: d.newWatch},
-		{Name: serviceCallers, DependsOn: []string{serviceEngine}, New: d.newCallers},
+		{Name: serviceCallers, DependsOn: []string{serviceMetrics, serviceEngine}, New: d.newCallers},
 		{
 			Name:      serviceOperators,
 			DependsOn: []string{serviceMetrics, serviceStore, serviceWriter, serviceEngine, serviceFollower, servicePeers},
@@ -254,11 +254,12 @@
 	listener net.Listener
 	handler  http.Handler
 	grace    time.Duration // bounds the calls in progress at shutdown
+	guard    *ingress.Guard
 }
 
 // Run serves HTTP until ctx ends.
 func (s *httpService) Run(ctx context.Context) error {
-	return httpserve.Serve(ctx, s.listener, s.handler, s.grace)
+	return httpserve.ServeGuarded(ctx, s.listener, s.handler, s.grace, s.guard)
 }
 
 func (d *daemon) newCallers(l kernel.Lookup) (any, error) {
@@ -267,9 +268,10 @@
 	o.MaxBodyBytes = d.Settings.Limits.MaxBodyBytes
 	o.MaxTotalBodyBytes = int64(d.Settings.Limits.MaxWaitingBytes)
 	return &httpService{
-		listener: netutil.LimitListener(d.listeners.caller, d.Settings.Limits.MaxCallerConnections),
+		listener: d.listeners.caller,
 		handler:  d.closeWhenStopping(callerapi.New(e, o)),
 		grace:    callerGrace,
+		guard:    d.callerGuard(mustGet[*metrics.Metrics](l, serviceMetrics)),
 	}, nil
 }
 
@@ -305,9 +307,10 @@
 	mux.Handle("/metrics", m.Handler())
 	mux.Handle("/", api)
 	return &httpService{
-		listener: netutil.LimitListener(d.listeners.operator, d.Settings.Limits.MaxOperatorConnections),
+		listener: d.listeners.operator,
 		handler:  mux,
 		grace:    operatorapi.CloseTimeout,
+		guard:    d.operatorGuard(m),
 	}, nil
 }
 
--- a/internal/hostile/process_test.go
+++ b/internal/hostile/process_test.go
@@ -131,11 +131,26 @@
 	require.Fail(t, "never: "+what)
 }
 
-// freeAddress returns a loopback address at which nothing listens.
+// The processes listen on ports below the range that the system gives to outgoing connections, so that none is taken before they start.
+const (
+	firstPort = 11000
+	portCount = 2000
+)
+
+var portsUsed = os.Getpid()
+
+// freeAddress returns a loopback address at which nothing listens and that it hasn't returned before.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { require.NoError(t, l.Close()) }()
-	return l.Addr().String()
+	for range portCount {
+		portsUsed++
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+portsUsed%portCount))
+		if err != nil {
+			continue
+		}
+		require.NoError(t, l.Close())
+		return l.Addr().String()
+	}
+	require.Fail(t, "no free port")
+	return ""
 }
--- a/internal/httpserve/drain.go
+++ b/internal/httpserve/drain.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"example.org/comfreyrouter/internal/ingress"
 )
 
 // drainInterval is the interval at which the connections of a stopping server are looked at.
@@ -22,6 +24,7 @@
 // conn is a connection of a drainer.
 type conn struct {
 	net.Conn
+	guarded     *ingress.Conn // the same connection
 	mu          sync.Mutex
 	idle        bool // it has served a request and no bytes of the next one have been read
 	interrupted bool // its read was made to fail
@@ -53,15 +56,15 @@
 }
 
 // listener wraps the connections that it accepts.
-type listener struct{ net.Listener }
+type listener struct{ *ingress.Listener }
 
 // Accept returns the next connection.
 func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	c, err := l.AcceptGuarded()
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c}, nil
+	return &conn{Conn: c, guarded: c}, nil
 }
 
 // track follows the states of the connections.
@@ -69,6 +72,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	tracked := c.(*conn)
+	tracked.guarded.State(state)
 	switch state {
 	case http.StateNew:
 		d.conns[tracked] = true
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -1,4 +1,4 @@
-// Package httpserve serves HTTP with a graceful shutdown.
+// Package httpserve serves HTTP with bounds on its clients and a graceful shutdown.
 package httpserve
 
 import (
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"example.org/comfreyrouter/internal/ingress"
 )
 
 const (
@@ -16,11 +18,25 @@
 	idleTimeout = 30 * time.Second
 )
 
-// Serve serves HTTP on a listener until ctx ends, and then finishes the calls in progress within grace. Connections that
-// are still open after grace are closed; most of them never carried a request.
+// Serve is ServeGuarded with the default bounds, which suit a listener that only the operators or the platform call.
 func Serve(ctx context.Context, l net.Listener, h http.Handler, grace time.Duration) error {
+	return ServeGuarded(ctx, l, h, grace, ingress.NewGuard(ingress.DefaultOptions()))
+}
+
+// ServeGuarded serves HTTP on a listener until ctx ends, and then finishes the calls in progress within grace. Connections that
+// are still open after grace are closed; most of them never carried a request. The guard bounds what clients can take.
+func ServeGuarded(ctx context.Context, l net.Listener, h http.Handler, grace time.Duration, g *ingress.Guard) error {
 	d := &drainer{conns: map[*conn]bool{}}
-	server := &http.Server{Handler: d.handler(h), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnState: d.track}
+	server := &http.Server{
+		Handler: d.handler(g.Handler(h)), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: ingress.MaxHeaderBytes,
+		ConnState: d.track,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return ingress.ConnContext(ctx, c.(*conn).guarded)
+		},
+	}
+	guarding := make(chan struct{})
+	defer close(guarding)
+	go g.Run(guarding)
 	stopped := make(chan error, 1)
 	stop := context.AfterFunc(ctx, func() {
 		drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
@@ -33,7 +49,7 @@
 		}
 		stopped <- err
 	})
-	err := server.Serve(listener{l})
+	err := server.Serve(listener{g.Listener(l)})
 	if stop() {
 		return err
 	}
--- a/jobnode/api.go
+++ b/jobnode/api.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -14,6 +13,7 @@
 
 	"example.org/comfreyrouter/errkind"
 	"example.org/comfreyrouter/events"
+	"example.org/comfreyrouter/internal/ingress"
 	"example.org/comfreyrouter/jobs"
 	"example.org/comfreyrouter/ledger"
 	"example.org/comfreyrouter/platform"
@@ -159,7 +159,10 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	body, err := ingress.ReadBody(r, limit)
+	if errors.Is(err, ingress.ErrRefused) {
+		return jobs.Submission{}, errkind.New(errkind.QueueFull, "%v", err)
+	}
 	if err != nil {
 		return jobs.Submission{}, errkind.Wrap(errkind.BadRequest, err)
 	}
--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -85,6 +85,7 @@
 		return
 	}
 	defer collectLessOften(n.settings.MemoryMB)()
+	defer n.shareMemory()()
 	n.admission.current.Store(d)
 	defer n.admission.current.Store(nil)
 	var wg sync.WaitGroup
--- a/jobnode/metrics.go
+++ b/jobnode/metrics.go
@@ -13,6 +13,7 @@
 	accepted       prometheus.Counter
 	refused        *prometheus.CounterVec
 	dispatchEvents *prometheus.CounterVec
+	clientsRefused *prometheus.CounterVec
 }
 
 func newMetrics() *nodeMetrics {
@@ -25,8 +26,11 @@
 		dispatchEvents: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "comfreyrouter_dispatch_events_total", Help: "Events and decisions of this node's dispatcher, by event.",
 		}, []string{"event"}),
+		clientsRefused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfreyrouter_clients_refused_total", Help: "Clients beyond the limits that were refused or disconnected, by listener and limit.",
+		}, []string{"listener", "limit"}),
 	}
-	m.registry.MustRegister(m.accepted, m.refused, m.dispatchEvents)
+	m.registry.MustRegister(m.accepted, m.refused, m.dispatchEvents, m.clientsRefused)
 	return m
 }
 
--- a/jobnode/node.go
+++ b/jobnode/node.go
@@ -14,6 +14,7 @@
 
 	"example.org/comfreyrouter/events"
 	"example.org/comfreyrouter/internal/httpserve"
+	"example.org/comfreyrouter/internal/ingress"
 	"example.org/comfreyrouter/kernel"
 	"example.org/comfreyrouter/platform"
 	"example.org/comfreyrouter/relay"
@@ -55,6 +56,8 @@
 	metrics         *nodeMetrics
 	admission       *AdmissionService
 	admissionClient *admissionClient
+	callerGuard     *ingress.Guard
+	readyGuard      *ingress.Guard
 	stopping        atomic.Bool
 }
 
@@ -76,6 +79,8 @@
 		metrics: newMetrics(), admission: &AdmissionService{log: log},
 	}
 	n.admissionClient = &admissionClient{admission: n.admission, follower: n.follower, directNodes: s.DirectNodes, log: log}
+	n.callerGuard, n.readyGuard = n.newGuards()
+	n.operators.onHeaderLimit = n.callerGuard.SetHeaderBytes
 	n.writer = newWriter(store, n.admissionClient.put, log)
 	n.presence = newPresence(s, n.incarnation, n.follower, store, log)
 	if s.MachinesAddress.IsValid() {
@@ -98,6 +103,7 @@
 			return err
 		}
 	}
+	defer limitHeap(s.MemoryMB)()
 	serve := n.untilDrained(ctx)
 	k, err := n.kernel(serve, callers, ready, peers)
 	if err != nil {
@@ -131,9 +137,11 @@
 		{serviceFollower, nil, n.follower.Run},
 		{serviceWriter, nil, n.writer.Run},
 		{serviceCallers, []string{serviceOperators, serviceFollower, serviceWriter}, func(context.Context) error {
-			return httpserve.Serve(serve, callers, n.handler(), max(n.settings.Bounds.Grace-stopDelay-stopMargin, time.Second))
+			return httpserve.ServeGuarded(serve, callers, n.handler(), max(n.settings.Bounds.Grace-stopDelay-stopMargin, time.Second), n.callerGuard)
+		}},
+		{serviceReady, nil, func(ctx context.Context) error {
+			return httpserve.ServeGuarded(ctx, ready, n.readyHandler(), time.Second, n.readyGuard)
 		}},
-		{serviceReady, nil, func(ctx context.Context) error { return httpserve.Serve(ctx, ready, n.readyHandler(), time.Second) }},
 		{serviceRelay, nil, func(ctx context.Context) error { return n.serveRelay(ctx, peers) }},
 		{servicePresence, []string{serviceFollower}, n.presence.Run},
 		{serviceElector, []string{serviceCallers, serviceReady, servicePresence}, elect.Run},
--- a/jobnode/operators.go
+++ b/jobnode/operators.go
@@ -11,6 +11,7 @@
 
 	"example.org/comfreyrouter/events"
 	"example.org/comfreyrouter/internal/boottime"
+	"example.org/comfreyrouter/internal/ingress"
 	"example.org/comfreyrouter/jobs"
 	"example.org/comfreyrouter/platform"
 )
@@ -27,10 +28,11 @@
 
 // operatorFollower follows what operators publish: the configuration and the waves.
 type operatorFollower struct {
-	store        *platform.StoreClient
-	log          zerolog.Logger
-	revokeWithin time.Duration
-	reads        dependencyLog
+	store         *platform.StoreClient
+	log           zerolog.Logger
+	revokeWithin  time.Duration
+	reads         dependencyLog
+	onHeaderLimit func(bytes int) // called with the limit of the head of a call; may be nil
 
 	mu          sync.RWMutex
 	config      *jobs.Configuration
@@ -115,6 +117,9 @@
 			o.keys[k] = w.Name
 		}
 	}
+	if o.onHeaderLimit != nil {
+		o.onHeaderLimit(int(min(c.MaxHeaderBytes, ingress.MaxHeaderBytes)))
+	}
 	events.Log(o.log, events.ConfigInForce, c.Version, "")
 }
 
--- a/jobnode/processor.go
+++ b/jobnode/processor.go
@@ -65,6 +65,16 @@
 	heapLimitShare = 0.5
 )
 
+// limitHeap makes this process collect garbage more often from a share of the VM's memory on, until the returned function is called. Nothing changes if the
+// memory of the VM isn't known.
+func limitHeap(memoryMB int) (restore func()) {
+	if memoryMB <= 0 {
+		return func() {}
+	}
+	limit := debug.SetMemoryLimit(int64(heapLimitShare * float64(memoryMB) * (1 << 20)))
+	return func() { debug.SetMemoryLimit(limit) }
+}
+
 // collectLessOften makes this process spend less time on garbage collection and more memory, until the returned function is called. Nothing changes if the
 // memory of the VM isn't known.
 func collectLessOften(memoryMB int) (restore func()) {
--- a/jobnode/settings.go
+++ b/jobnode/settings.go
@@ -24,6 +24,7 @@
 	MachineOrderRate float64        `yaml:"machine_orders"`   // machine orders per second that the platform accepts
 	Cores            float64        `yaml:"cores"`            // processors that this node may use; a stronger node claims the dispatcher role sooner
 	MemoryMB         int            `yaml:"memory_mb"`        // memory that this node may use; optional
+	Descriptors      int            `yaml:"descriptors"`      // descriptors that this process may open; the limit of the operating system if it is lower or this is 0
 	LogLevel         string         `yaml:"log_level"`        // debug, info, warn or error
 	DirectServers    int            `yaml:"direct_servers"`   // up to this many backend servers, the dispatcher calls all of them directly
 	DirectNodes      int            `yaml:"direct_nodes"`     // up to this many nodes, each appends the records of its calls itself
@@ -79,7 +80,7 @@
 			add("bounds."+field, "must be above 0")
 		}
 	}
-	for field, n := range map[string]int{"direct_servers": s.DirectServers, "direct_nodes": s.DirectNodes, "memory_mb": s.MemoryMB} {
+	for field, n := range map[string]int{"direct_servers": s.DirectServers, "direct_nodes": s.DirectNodes, "memory_mb": s.MemoryMB, "descriptors": s.Descriptors} {
 		if n < 0 {
 			add(field, "must not be below 0")
 		}
--- a/jobs/model.go
+++ b/jobs/model.go
@@ -215,11 +215,12 @@
 
 // Configuration is the operators' configuration in force.
 type Configuration struct {
-	Version      int64
-	Routes       []Route
-	Services     map[string]Service
-	Workspaces   []Workspace
-	MaxBodyBytes int64
+	Version        int64
+	Routes         []Route
+	Services       map[string]Service
+	Workspaces     []Workspace
+	MaxHeaderBytes int64 // of the head of a call; 0 means that none is set
+	MaxBodyBytes   int64
 }
 
 // Server is what a backend server reports about itself.
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -13,6 +13,7 @@
 
 	"example.org/comfreyrouter/errkind"
 	"example.org/comfreyrouter/fleet"
+	"example.org/comfreyrouter/internal/ingress"
 	"example.org/comfreyrouter/logclient"
 )
 
@@ -40,16 +41,23 @@
 	leaseLeft            = description{"comfreyrouter_lease_left_seconds", "gauge", "", "time until the lease on grants ends"}
 	recordsSinceSnapshot = description{"comfreyrouter_records_since_snapshot", "gauge", "", "records that were appended since the last snapshot"}
 	logEvents            = description{"comfreyrouter_log_events_total", "counter", "event", "appends, reads, snapshots and their failures, by logclient.Event"}
+	clientsRefused       = description{"comfreyrouter_clients_refused_total", "counter", "listener, limit", "clients beyond the limits that were refused or disconnected"}
 	unavailableServers   = description{"comfreyrouter_unavailable_servers", "gauge", "", "backend servers that are not available, planned or not"}
 )
 
 func catalogue() []description {
 	return []description{
 		requests, refusals, retries, startDelay, waitingRequests, runningTasks, logOffset, logReadAge,
-		configVersion, viewFresh, leaseLeft, recordsSinceSnapshot, logEvents, unavailableServers,
+		configVersion, viewFresh, leaseLeft, recordsSinceSnapshot, logEvents, clientsRefused, unavailableServers,
 	}
 }
 
+// Values of the label listener.
+const (
+	ListenerCallers   = "callers"
+	ListenerOperators = "operators"
+)
+
 // Metrics holds the collectors of one entry VM.
 type Metrics struct {
 	registry   *prometheus.Registry
@@ -58,6 +66,7 @@
 	retries    *prometheus.CounterVec
 	startDelay *prometheus.HistogramVec
 	logEvents  *prometheus.CounterVec
+	clients    *prometheus.CounterVec
 }
 
 // startDelayBuckets are dense up to 3.1 s, within which urgent work starts, and sparse beyond it, for overnight work.
@@ -72,13 +81,18 @@
 		retries:    counter(retries, "kind"),
 		startDelay: histogram(startDelay, startDelayBuckets, "class"),
 		logEvents:  counter(logEvents, "event"),
+		clients:    counter(clientsRefused, "listener", "limit"),
 	}
-	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.startDelay, m.logEvents,
+	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.startDelay, m.logEvents, m.clients,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	for _, k := range errkind.All() {
 		m.refusals.WithLabelValues(string(k))
 		m.retries.WithLabelValues(string(k))
 	}
+	for _, r := range ingress.Reasons() {
+		m.clients.WithLabelValues(ListenerCallers, r.String())
+		m.clients.WithLabelValues(ListenerOperators, r.String())
+	}
 	return m
 }
 
@@ -93,6 +107,11 @@
 // Refused counts a request that was refused or failed.
 func (m *Metrics) Refused(k errkind.Kind) { m.refusals.WithLabelValues(string(k)).Inc() }
 
+// ClientsRefused counts clients of a listener that were refused because of a limit.
+func (m *Metrics) ClientsRefused(listener, limit string, n int) {
+	m.clients.WithLabelValues(listener, limit).Add(float64(n))
+}
+
 // Retried counts an attempt that is repeated after an error of kind k.
 func (m *Metrics) Retried(k errkind.Kind) { m.retries.WithLabelValues(string(k)).Inc() }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -41,6 +41,7 @@
 
 // Limits bound the memory and the connections of one entry VM.
 type Limits struct {
+	MaxHeaderBytes int `yaml:"max_header_bytes"` // largest head of a request, in bytes
 	MaxBodyBytes   int `yaml:"max_body_bytes"`   // largest request body, in bytes
 	MaxAnswerBytes int `yaml:"max_answer_bytes"` // largest answer of a backend server, in bytes
 	// MaxWaiting and MaxWaitingBytes bound the requests of all queues that wait on this VM, by number and by size in bytes.
@@ -66,6 +67,7 @@
 // 384 MiB together. A backend server accepts 64 connections, which leaves 7 for each of 9 entry VMs.
 func DefaultLimits() Limits {
 	return Limits{
+		MaxHeaderBytes:              16 << 10,
 		MaxBodyBytes:                1 << 20,
 		MaxAnswerBytes:              4 << 20,
 		MaxWaiting:                  4096,
@@ -183,6 +185,7 @@
 		field string
 		value int
 	}{
+		{"max_header_bytes", l.MaxHeaderBytes},
 		{"max_body_bytes", l.MaxBodyBytes},
 		{"max_answer_bytes", l.MaxAnswerBytes},
 		{"max_waiting", l.MaxWaiting},
