Stop without waiting for refused clients

Cause: a refused client has 250 ms to read its answer before its connection closes. A planned stop closes what is left one after the other, so a hundred such clients would take it past its grace. From the end of the drain on, connections close at once.

--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -43,6 +43,7 @@
 		defer cancel()
 		_ = l.Close() // ends Serve; the connections go on
 		d.drain(drainCtx)
+		g.Stop()
 		err := server.Close()
 		if errors.Is(err, net.ErrClosed) {
 			err = nil // of the listener
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -214,7 +214,7 @@
 		return c.Conn.Close()
 	}
 	c.guard.held.Add(-c.held.Swap(0))
-	if answered {
+	if answered && !c.guard.stopping.Load() {
 		c.linger()
 	}
 	c.guard.release(c)
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -103,6 +103,7 @@
 	held        atomic.Int64 // by all connections
 	now         atomic.Int64 // ticks
 	refusals    [reasonCount]atomic.Int64
+	stopping    atomic.Bool // connections are closed at once
 
 	mu    sync.Mutex
 	conns map[*Conn]bool
@@ -127,6 +128,9 @@
 // SetBudget changes the bytes that all unfinished requests may hold.
 func (g *Guard) SetBudget(bytes int64) { g.budget.Store(bytes) }
 
+// Stop makes connections close without waiting for refused clients to read their answers. It is called before all are closed one after the other.
+func (g *Guard) Stop() { g.stopping.Store(true) }
+
 // Held returns the bytes that all unfinished requests hold.
 func (g *Guard) Held() int64 { return g.held.Load() }
 
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -27,6 +27,7 @@
 	written bytes.Buffer
 	closed  bool
 	expired bool // its read deadline has passed
+	halves  int  // how often its sending half was closed
 }
 
 func (f *fakeConn) Read(p []byte) (int, error) {
@@ -51,6 +52,11 @@
 	return nil
 }
 
+func (f *fakeConn) CloseWrite() error {
+	f.halves++
+	return nil
+}
+
 func (f *fakeConn) RemoteAddr() net.Addr {
 	host, port, _ := net.SplitHostPort(f.address)
 	return fakeAddr(net.JoinHostPort(host, port))
@@ -292,6 +298,20 @@
 	}
 }
 
+// TestStopDoesNotWaitForRefusedClients guards against a planned stop that waits for one refused client after the other.
+func TestStopDoesNotWaitForRefusedClients(t *testing.T) {
+	for _, stopping := range []bool{false, true} {
+		g := NewGuard(Options{})
+		c, err := open(t, g, "10.0.0.1:1", headOf(3*DefaultHeaderBytes))
+		require.ErrorIs(t, err, io.EOF)
+		if stopping {
+			g.Stop()
+		}
+		require.NoError(t, c.Close())
+		require.Equal(t, !stopping, c.Conn.(*fakeConn).halves == 1)
+	}
+}
+
 // TestReadBodyStopsAtTheLimit guards against bodies of which more is kept than the limit.
 func TestReadBodyStopsAtTheLimit(t *testing.T) {
 	for _, c := range []struct{ length, limit, want int }{{0, 10, 0}, {10, 10, 10}, {100_000, 100_000, 100_000}, {100_001, 100_000, 100_001}, {300_000, 100_000, 100_001}} {
