--- a/jobnode/metrics.go
+++ b/jobnode/metrics.go
@@ -17,6 +17,7 @@
 	dispatchEvents *prometheus.CounterVec
 	interference   *prometheus.GaugeVec
 	poolUse        *prometheus.CounterVec
+	clientsRefused *prometheus.CounterVec
 }
 
 func newMetrics() *nodeMetrics {
@@ -35,8 +36,11 @@
 		poolUse: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "comfreyrouter_pool_machine_seconds_total", Help: "Seconds of machines in pools that aren't spare while this node was the dispatcher, by service and state.",
 		}, []string{"service", "state"}),
+		clientsRefused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfreyrouter_clients_refused_total", Help: "Clients beyond the limits that were refused or disconnected, by listener and limit.",
+		}, []string{"listener", "limit"}),
 	}
-	m.registry.MustRegister(m.accepted, m.refused, m.dispatchEvents, m.interference, m.poolUse)
+	m.registry.MustRegister(m.accepted, m.refused, m.dispatchEvents, m.interference, m.poolUse, m.clientsRefused)
 	return m
 }
 
--- a/jobnode/node.go
+++ b/jobnode/node.go
@@ -14,6 +14,7 @@
 
 	"example.org/comfreyrouter/events"
 	"example.org/comfreyrouter/internal/httpserve"
+	"example.org/comfreyrouter/internal/ingress"
 	"example.org/comfreyrouter/kernel"
 	"example.org/comfreyrouter/platform"
 	"example.org/comfreyrouter/relay"
@@ -56,6 +57,8 @@
 	metrics         *nodeMetrics
 	admission       *AdmissionService
 	admissionClient *admissionClient
+	callerGuard     *ingress.Guard
+	readyGuard      *ingress.Guard
 	stopping        atomic.Bool
 }
 
@@ -78,6 +81,8 @@
 	}
 	n.servers = startGuard{platform.NewServerClient(), n.operators}
 	n.admissionClient = &admissionClient{admission: n.admission, follower: n.follower, directNodes: s.DirectNodes, log: log}
+	n.callerGuard, n.readyGuard = n.newGuards()
+	n.operators.onHeaderLimit = n.callerGuard.SetHeaderBytes
 	n.writer = newWriter(store, n.admissionClient.put, log)
 	n.presence = newPresence(s, n.incarnation, n.follower, store, log)
 	if s.MachinesAddress.IsValid() {
@@ -106,6 +111,7 @@
 			return err
 		}
 	}
+	defer limitHeap(s.MemoryMB)()
 	serve := n.untilDrained(ctx)
 	k, err := n.kernel(serve, listeners{callers, ready, peers, queries})
 	if err != nil {
@@ -142,9 +148,11 @@
 		{serviceFollower, nil, n.follower.Run},
 		{serviceWriter, nil, n.writer.Run},
 		{serviceCallers, []string{serviceOperators, serviceFollower, serviceWriter}, func(context.Context) error {
-			return httpserve.Serve(serve, l.callers, n.handler(), max(n.settings.Bounds.Grace-stopDelay-stopMargin, time.Second))
+			return httpserve.ServeGuarded(serve, l.callers, n.handler(), max(n.settings.Bounds.Grace-stopDelay-stopMargin, time.Second), n.callerGuard)
+		}},
+		{serviceReady, nil, func(ctx context.Context) error {
+			return httpserve.ServeGuarded(ctx, l.ready, n.readyHandler(), time.Second, n.readyGuard)
 		}},
-		{serviceReady, nil, func(ctx context.Context) error { return httpserve.Serve(ctx, l.ready, n.readyHandler(), time.Second) }},
 		{serviceRelay, nil, func(ctx context.Context) error { return n.serveRelay(ctx, l.peers) }},
 		{serviceQueries, []string{serviceFollower}, func(ctx context.Context) error { return n.serveQueries(ctx, l.queries) }},
 		{servicePresence, []string{serviceFollower}, n.presence.Run},
