Give up runs on a lost server while the store is slow

An append that succeeds also shows until when there was no other dispatcher, though that time has passed when its answer arrives. Leases that had expired by then were not extended by another one, so their runs are given up.

TestSilentServerIsAbandonedWhileTheStoreIsSlow fails without the change: the task starts on no other server.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -243,6 +243,7 @@
 	now                 time.Duration
 	wallMS              int64
 	soleDispatcher      bool
+	soleUntil           time.Duration  // this dispatcher was the only one until then
 	eventCounts         map[string]int // number of events since the last TakeEventCounts, by name
 	problems            []ServerProblem
 	estimator           *interference.Estimator // nil if interference is ignored
@@ -383,8 +384,15 @@
 // Advance sets the time and whether this dispatcher is known to be the only one. If it isn't, another dispatcher may have extended leases.
 func (c *Core) Advance(now time.Duration, wallMS int64, sole bool) {
 	c.now, c.wallMS, c.soleDispatcher = now, wallMS, sole
+	if sole {
+		c.WasSole(now)
+	}
 }
 
+// WasSole records that this dispatcher is known to have been the only one until a time, which may be in the past: no other one has extended leases that had
+// expired by then.
+func (c *Core) WasSole(until time.Duration) { c.soleUntil = max(c.soleUntil, until) }
+
 // TakeOrders returns the orders decided since the last call.
 func (c *Core) TakeOrders() []Order {
 	orders := c.orders
--- a/dispatch/random_test.go
+++ b/dispatch/random_test.go
@@ -321,6 +321,21 @@
 	assert.NotNil(t, sim.core.findTask("00000000000000aa.0.0.0").run)
 }
 
+// TestSilentServerIsAbandonedWhileTheStoreIsSlow guards against tasks on a lost server that wait until the store is fast again, because an append takes longer
+// than the dispatcher is known to be the only one after it.
+func TestSilentServerIsAbandonedWhileTheStoreIsSlow(t *testing.T) {
+	sim := newSimulation(14, 2)
+	sim.submit("00000000000000aa", jobs.Step{Count: 1, Need: jobs.Resources{CPU: 1000, MemoryMB: 100}, EstimateMS: 20000})
+	sim.run(time.Second)
+	require.Equal(t, 1, sim.starts)
+	sim.storeDelay = time.Second
+	lost := sim.core.findTask("00000000000000aa.0.0.0").run.server.info.ID
+	sim.servers[lost].cutOff = true
+	sim.run(testLease + sim.storeDelay + time.Second)
+	require.Empty(t, sim.violations)
+	assert.Equal(t, 2, sim.starts, "it runs on the other server")
+}
+
 // TestServerWithUnstoredEndsIsKept guards against a move or an upkeep of the machine whose server is the only one that can report a completed task to
 // the next dispatcher.
 func TestServerWithUnstoredEndsIsKept(t *testing.T) {
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -317,10 +317,10 @@
 }
 
 // expireLeases removes the runs of a server whose leases have expired, and the server itself if it is unlisted. It does nothing unless this
-// dispatcher is known to be the only one.
+// dispatcher is known to have been the only one until then: another one may have extended them.
 func (c *Core) expireLeases(id string) {
 	s := c.servers[id]
-	if s == nil || c.now < s.leasesEnd() || !c.soleDispatcher {
+	if s == nil || c.now < s.leasesEnd() || c.soleUntil < s.leasesEnd() {
 		return
 	}
 	if c.now < s.recvAt+maxReportAge {
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -111,8 +111,9 @@
 	listedDone       map[string]bool // tasks of which a successful run was reported
 	serverSeenAt     map[string]time.Duration
 	unstored         []Batch
-	storeDown        bool // nothing can be stored
-	maxListedEnds    int  // ends that a server reports at a time
+	storeDown        bool          // nothing can be stored
+	storeDelay       time.Duration // after which the dispatcher learns that it was the only one
+	maxListedEnds    int           // ends that a server reports at a time
 	lateCalls        []*lateCall
 	outliveRestarts  bool                             // late calls are carried out by the next incarnation of a server too
 	lossRate         float64                          // share of orders that stay unanswered
@@ -229,7 +230,8 @@
 	}
 	sim.carryOutLateCalls()
 	sim.stepPredecessor()
-	sim.core.Advance(sim.now, sim.wall(), true)
+	sim.core.Advance(sim.now, sim.wall(), sim.storeDelay == 0)
+	sim.core.WasSole(sim.now - sim.storeDelay)
 	sim.listServers()
 	for _, id := range slices.Sorted(slices.Values(sim.core.Servers())) {
 		if sim.longPolls != nil {
--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -182,6 +182,7 @@
 // advanceTo sets the core's time to the given one. d.mu must be held.
 func (d *dispatcher) advanceTo(now time.Duration) {
 	d.core.Advance(now, time.Now().UnixMilli(), now-d.renewedAt < roleLease)
+	d.core.WasSole(min(now, d.renewedAt+roleLease))
 }
 
 func (d *dispatcher) wakeUp() {
