Count calls underway to removed servers and beside looks

A review of the waits for late calls found three calls without an answer that did not count:

- Starts underway to a server that was removed: its runs were dropped before they were counted, and a start found unanswered after the removal did not extend the wait of the next incarnation.
- A renewal underway when a look at a warming-up task, sent beside it, was answered: the answer counted for both.
Looks grant no lease now (NextLook), and RenewalAnswered names what was answered, also when another server answered.
- A start that became known as unanswered only after the restart of its server: the wait was not stored, so a successor lacked it.

The times at which the records of servers were read are forgotten with the records.

TestStartsUnderwayToARemovedServerAreCounted ("0s" is not greater than or equal to "1m23.4s"), TestRenewalUnderwayCountsBesideAnAnsweredOne (the same times) and TestLateKnowledgeOfAnUnansweredStartIsStored ("0" is not positive) failed and pass.

--- a/dispatch/cutoff_test.go
+++ b/dispatch/cutoff_test.go
@@ -50,6 +50,7 @@
 		case s == nil || !s.up || !s.behindCut:
 			p.RenewalUnanswered(id, sim.now-tick, tick)
 		case s.info.BornMS != r.Server.BornMS:
+			p.RenewalAnswered(r)
 			p.ServerRestarted(r.Server, s.info.BornMS)
 		default:
 			sim.answerRenewal(p, s, r)
--- a/dispatch/restarts.go
+++ b/dispatch/restarts.go
@@ -85,6 +85,13 @@
 	}
 }
 
+// RenewalAnswered records that a renewal was answered or not sent, so that it isn't carried out later.
+func (c *Core) RenewalAnswered(r Renewal) {
+	if s := c.servers[r.Server.ID]; s != nil && r.LeaseUntil > 0 {
+		s.renewalSentAt = 0
+	}
+}
+
 // RenewalRepeated records that a renewal of an incarnation of a server, first sent at the given time, was sent again because it got no answer.
 func (c *Core) RenewalRepeated(r Renewal, sent time.Duration) {
 	if r.LeaseUntil > 0 {
@@ -103,8 +110,11 @@
 		return
 	}
 	s.unansweredAt = max(s.unansweredAt, sent)
-	if s.bornMS != asked.BornMS {
-		s.formerLeasesEndAt = max(s.formerLeasesEndAt, sent+c.formerLeaseTime())
+	if end := sent + c.formerLeaseTime(); s.bornMS != asked.BornMS && s.formerLeasesEndAt < end {
+		s.formerLeasesEndAt = end
+		if s.inLedger {
+			c.records = append(c.records, c.serverRecord(s))
+		}
 	}
 }
 
@@ -199,6 +209,7 @@
 		s.unansweredAt, s.inLedger = removed.unansweredAt, removed.inLedger
 		if removed.bornMS != s.bornMS {
 			s.formerLeasesEndAt = removed.formerLeasesEndAt
+			c.awaitLateCalls(s)
 		} else {
 			s.knownAt = removed.knownAt
 		}
--- a/dispatch/restarts_test.go
+++ b/dispatch/restarts_test.go
@@ -396,3 +396,80 @@
 	}
 	assert.Less(t, sim.now-at, contactTime+maxIdleTime)
 }
+
+// TestStartsUnderwayToARemovedServerAreCounted guards against leases that nobody awaits because a server is removed while a start to it has no answer yet,
+// and comes back as another incarnation, which carries the start out.
+func TestStartsUnderwayToARemovedServerAreCounted(t *testing.T) {
+	for _, answeredAfterReturn := range []bool{false, true} {
+		sim := newSimulation(101, 1)
+		sim.run(time.Second)
+		c, s := sim.core, sim.servers["s0"]
+		former := c.servers["s0"]
+		sim.submit(oldJob, longRunningStep())
+		var start *Order
+		for i := 0; start == nil && i < 20; i++ {
+			sim.now += tick
+			c.Advance(sim.now, sim.wall(), true)
+			c.Schedule()
+			for _, o := range c.TakeOrders() {
+				if o.Start != nil {
+					start = &o
+				}
+			}
+			sim.store()
+		}
+		require.NotNil(t, start)
+		sentAt := sim.now
+		former.renewalSentAt, former.unansweredAt = 0, 0
+		c.serverTerminated(former)
+		unanswered := func() {
+			c.StartAnswered(start.Server, start.Start.Task.String(), start.Start.Attempt, jobs.StartUnknown)
+		}
+		sim.now += 400 * time.Millisecond
+		c.Advance(sim.now, sim.wall(), true)
+		if !answeredAfterReturn {
+			unanswered()
+		}
+		sim.restart(s)
+		c.ServerListed(s.info)
+		if answeredAfterReturn {
+			unanswered()
+		}
+		assert.GreaterOrEqual(t, c.servers["s0"].leasesEnd(), sentAt+testFormerLease)
+	}
+}
+
+// TestRenewalUnderwayCountsBesideAnAnsweredOne guards against leases that nobody awaits because a look at a long-running task that is warming up was
+// answered while a renewal was underway, before its server restarted.
+func TestRenewalUnderwayCountsBesideAnAnsweredOne(t *testing.T) {
+	sim := newSimulation(102, 1)
+	sim.run(time.Second)
+	c, s := sim.core, sim.servers["s0"]
+	renewal, _ := c.NextRenewal("s0")
+	require.Positive(t, renewal.LeaseUntil)
+	sentAt := sim.now
+	sim.now += 250 * time.Millisecond
+	c.Advance(sim.now, sim.wall(), true)
+	_, ok := c.NextLook("s0")
+	require.True(t, ok)
+	c.ReportReceived("s0", sim.now, jobs.Report{ClockMS: s.clock(sim.now), BornMS: s.info.BornMS})
+	sim.restart(s)
+	c.ServerListed(s.info)
+	assert.Equal(t, sentAt+testFormerLease, c.servers["s0"].leasesEnd())
+}
+
+// TestLateKnowledgeOfAnUnansweredStartIsStored guards against a successor that doesn't know of a start without an answer which became known as such after the
+// restart of its server.
+func TestLateKnowledgeOfAnUnansweredStartIsStored(t *testing.T) {
+	sim := newSimulation(103, 1)
+	sim.run(time.Second)
+	s := sim.servers["s0"]
+	former := sim.core.servers["s0"].target()
+	sim.restart(s)
+	sim.run(300 * time.Millisecond)
+	require.Zero(t, sim.ledger.Servers["s0"].FormerLeasesUntilMS)
+	sim.core.StartAnswered(former, oldJob+".0.0.0", 1, jobs.StartUnknown)
+	sim.run(300 * time.Millisecond)
+	assert.Positive(t, sim.ledger.Servers["s0"].FormerLeasesUntilMS)
+	assert.Equal(t, s.info.BornMS, sim.ledger.Servers["s0"].BornMS)
+}
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -170,6 +170,7 @@
 
 // dropRuns removes all runs of a server on which nothing can run any more.
 func (c *Core) dropRuns(s *server) {
+	c.collectUnanswered(s)
 	for _, r := range s.runs {
 		c.count("run_lost")
 		c.removeRun(r)
@@ -205,8 +206,8 @@
 	WarmingUp  bool          // a long-running task there isn't serving yet, and others may have to wait for it
 }
 
-// NextRenewal returns the next renewal of a server, or false if the server has been removed.
-func (c *Core) NextRenewal(id string) (Renewal, bool) {
+// NextLook returns a renewal of a server that extends no lease and may be sent beside another one, or false if the server has been removed.
+func (c *Core) NextLook(id string) (Renewal, bool) {
 	s := c.servers[id]
 	if s == nil {
 		return Renewal{}, false
@@ -215,6 +216,16 @@
 	for _, run := range s.runs {
 		r.WarmingUp = r.WarmingUp || run.task.step.spec.LongRunning && run.percent < servingPercent && run.state == runActive
 	}
+	return r, true
+}
+
+// NextRenewal returns the next renewal of a server, or false if the server has been removed. One is sent at a time.
+func (c *Core) NextRenewal(id string) (Renewal, bool) {
+	r, known := c.NextLook(id)
+	if !known {
+		return r, false
+	}
+	s := c.servers[id]
 	// An unanswered renewal may still have arrived. The lease of an unresponsive server isn't extended, so that it expires eventually.
 	if s.recvAt > 0 && !s.unresponsive {
 		r.LeaseUntil, r.Wait = c.grantLease(s), s.renewalWait(r.WarmingUp)
@@ -311,7 +322,6 @@
 // had begun before it was asked, so the other one is later, even if the server's time of day has gone back and it states an earlier start.
 func (c *Core) ServerRestarted(asked jobs.Server, bornMS int64) {
 	if s := c.servers[asked.ID]; s != nil && s.bornMS == asked.BornMS && bornMS != s.bornMS {
-		s.renewalSentAt = 0
 		c.serverRestarted(s, bornMS)
 	}
 }
@@ -341,7 +351,6 @@
 	if s == nil {
 		return
 	}
-	s.renewalSentAt = 0
 	if r.BornMS != 0 && s.bornMS != 0 && r.BornMS != s.bornMS {
 		if !s.namesSuccessor(r.BornMS) {
 			return
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -293,6 +293,7 @@
 		return
 	}
 	if s.info.BornMS != r.Server.BornMS {
+		sim.core.RenewalAnswered(r)
 		sim.core.ServerRestarted(r.Server, s.info.BornMS)
 		return
 	}
@@ -316,6 +317,7 @@
 			return
 		}
 		if s := sim.servers[id]; s != nil && s.up && !s.cutOff && s.info.BornMS != r.Server.BornMS {
+			sim.core.RenewalAnswered(r)
 			sim.core.ServerRestarted(r.Server, s.info.BornMS)
 			return
 		}
@@ -358,6 +360,7 @@
 		run := s.runs[task]
 		report.Active = append(report.Active, jobs.RunState{Task: task, Attempt: run.attempt, Checkpoint: run.checkpoint, Percent: run.percent})
 	}
+	c.RenewalAnswered(r)
 	c.ReportReceived(s.info.ID, sim.now-tick/2, report)
 }
 
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -239,6 +239,20 @@
 	sim.requireAwaitedUntil(t, s.bornAt+testFormerLease)
 }
 
+// TestTakeoverWaitsForServersThatHaveRestartedAnswered guards against the same second run if all calls to the former incarnations were answered.
+func TestTakeoverWaitsForServersThatHaveRestartedAnswered(t *testing.T) {
+	sim := newSimulation(29, 2)
+	sim.run(time.Second)
+	for _, id := range sim.serverIDs() {
+		sim.restart(sim.servers[id])
+		sim.run(time.Second)
+	}
+	sim.submit(oldJob, longRunningStep())
+	sim.run(time.Second)
+	sim.cutOffDispatcher(sim.serverWithRuns(t))
+	sim.requireAwaited(t)
+}
+
 // TestTakeoverWaitsForServersWithAnOutdatedRecord guards against the same second run if a dispatcher of an earlier version has left the record of the
 // server's first incarnation.
 func TestTakeoverWaitsForServersWithAnOutdatedRecord(t *testing.T) {
--- a/jobnode/follower.go
+++ b/jobnode/follower.go
@@ -223,7 +223,11 @@
 		f.orderSeenAt[id] = boottime.Now()
 	}
 	if kind == ledger.ServerChanged {
-		f.serverSeenAt[id] = boottime.Now()
+		if _, known := f.ledger.Servers[id]; known {
+			f.serverSeenAt[id] = boottime.Now()
+		} else {
+			delete(f.serverSeenAt, id)
+		}
 	}
 	if ledger.IsDispatcherKey(r.Key) {
 		f.heardAt = boottime.Now()
--- a/jobnode/orders.go
+++ b/jobnode/orders.go
@@ -55,12 +55,11 @@
 	for range maxWarmUpRenewals {
 		sleep(context.Background(), dispatch.WarmUpWait)
 		d.mu.Lock()
-		r, ok := d.core.NextRenewal(server)
+		r, ok := d.core.NextLook(server)
 		d.mu.Unlock()
 		if !ok || !r.WarmingUp || !d.canSendOrders() {
 			return
 		}
-		r.LeaseUntil, r.Wait = 0, 0
 		d.renew(context.Background(), server, r, boottime.Now())
 	}
 }
--- a/jobnode/renewals.go
+++ b/jobnode/renewals.go
@@ -119,6 +119,9 @@
 		if report.Repeated {
 			c.RenewalRepeated(r, sent)
 		}
+		if result != platform.RenewalUnanswered && result != platform.RenewalFenced {
+			c.RenewalAnswered(r)
+		}
 		switch result {
 		case platform.Renewed:
 			c.ReportReceived(id, sent, report)
