Report once that another server answers at an address

While a start without an answer kept a replaced server, each renewal, every 150 ms, logged server_gone again. TestReplacedServerIsAwaitedBriefly asks for at most two such reports (216 before, one for each tick) and passes.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -166,6 +166,7 @@
 	restarts            int           // number of restarts under its id that this dispatcher has seen
 	reconciled          bool          // its runs are known: it has reported to this dispatcher, or its runs were dropped
 	unresponsive        bool          // the last renewal got no answer
+	replaced            bool          // another server has answered at its address, and it hasn't reported since
 	terminated          bool          // its incarnation has ended
 	bornMS              int64         // start of its incarnation, Unix time; 0 if it isn't known
 	knownAt             time.Duration // when this dispatcher learned of its incarnation
--- a/dispatch/restarts_test.go
+++ b/dispatch/restarts_test.go
@@ -275,6 +275,7 @@
 			}
 			sim.step()
 		}
+		assert.LessOrEqual(t, sim.core.eventCounts["server_gone"], 2)
 		if answered {
 			assert.Less(t, sim.now-at, 200*time.Millisecond)
 		} else {
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -313,7 +313,10 @@
 // under its id at another address and carry out their starts before this dispatcher reaches it.
 func (c *Core) awaitReturn(s *server) {
 	s.unresponsive = true
-	c.reportProblem(s, "server_gone")
+	if !s.replaced {
+		c.reportProblem(s, "server_gone") // each renewal shows it again
+	}
+	s.replaced = true
 	c.serverCrashed(s)
 	c.dropBegunRuns(s)
 }
@@ -363,7 +366,7 @@
 	if s.recvAt == 0 {
 		c.fencePredecessors(s)
 	}
-	s.clockMS, s.sentAt, s.recvAt, s.heardAt, s.unresponsive = r.ClockMS, sent, c.now, c.now, false
+	s.clockMS, s.sentAt, s.recvAt, s.heardAt, s.unresponsive, s.replaced = r.ClockMS, sent, c.now, c.now, false, false
 	c.forgetSilence(id) // it was only cut off
 	c.count("report")
 	if len(r.Ended) > 0 && r.Ended[len(r.Ended)-1].Number <= s.lastEnd {
