Count calls without an answer from when that is known

A renewal whose relay does not answer is sent directly up to 2.9 s after it was decided, and a start up to 0.7 s after; the wait for what a late call may extend began when they were decided, and ended that much too early. It begins now when the call is known to have no answer, or, if it is underway then, when the restart is known. Tasks on a server that restarts and is lost soon after wait up to 3 s longer, if such a call was underway or had failed.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -175,8 +175,8 @@
 	sentAt              time.Duration // when the renewal was sent that the last report answers
 	recvAt              time.Duration // when the last report was received; 0 if there is none
 	leasesExpireAt      time.Duration // by then all leases on it have expired, if no further lease is granted and no call for a former incarnation arrives
-	renewalSentAt       time.Duration // when the renewal was sent that has no answer yet and grants a lease; 0 if there is none
-	unansweredAt        time.Duration // when the last call of this dispatcher was sent that granted a lease and got no answer; 0 if there is none
+	renewalUnderway     bool          // a renewal that grants a lease has no answer yet
+	unansweredAt        time.Duration // by then the last call of this dispatcher was sent that granted a lease and got no answer; 0 if there is none
 	formerLeasesStored  bool          // its record says that calls for former incarnations may have extended leases, or is about to
 	formerLeasesEndAt   time.Duration // by then all leases have expired that calls for former incarnations may have extended
 	runs                map[string]*run
--- a/dispatch/restarts.go
+++ b/dispatch/restarts.go
@@ -75,12 +75,15 @@
 	}
 }
 
-// collectUnanswered counts the calls of this dispatcher that are underway to a server, and grant leases, among those without an answer.
+// collectUnanswered counts the calls of this dispatcher that are underway to a server, and grant leases, among those without an answer. They may have been
+// sent seconds after they were decided: directly, after a relay hadn't answered, or by a process that was paused.
 func (c *Core) collectUnanswered(s *server) {
-	s.unansweredAt, s.renewalSentAt = max(s.unansweredAt, s.renewalSentAt), 0
+	if s.renewalUnderway {
+		s.renewalUnderway, s.unansweredAt = false, c.now
+	}
 	for _, r := range s.runs {
 		if !r.answered {
-			s.unansweredAt = max(s.unansweredAt, r.sentAt)
+			s.unansweredAt = c.now
 		}
 	}
 }
@@ -88,29 +91,29 @@
 // RenewalAnswered records that a renewal was answered or not sent, so that it isn't carried out later.
 func (c *Core) RenewalAnswered(r Renewal) {
 	if s := c.servers[r.Server.ID]; s != nil && r.LeaseUntil > 0 {
-		s.renewalSentAt = 0
+		s.renewalUnderway = false
 	}
 }
 
-// RenewalRepeated records that a renewal of an incarnation of a server, first sent at the given time, was sent again because it got no answer.
-func (c *Core) RenewalRepeated(r Renewal, sent time.Duration) {
+// RenewalRepeated records that a renewal of an incarnation of a server was sent again because it got no answer.
+func (c *Core) RenewalRepeated(r Renewal) {
 	if r.LeaseUntil > 0 {
-		c.grantUnanswered(r.Server, sent)
+		c.grantUnanswered(r.Server)
 	}
 }
 
 // grantUnanswered records that a call which grants a lease to an incarnation of a server got no answer.
-func (c *Core) grantUnanswered(asked jobs.Server, sent time.Duration) {
+func (c *Core) grantUnanswered(asked jobs.Server) {
 	if removed, known := c.removedServers[asked.ID]; known {
-		removed.unansweredAt = max(removed.unansweredAt, sent)
+		removed.unansweredAt = c.now
 		c.removedServers[asked.ID] = removed
 	}
 	s := c.servers[asked.ID]
 	if s == nil {
 		return
 	}
-	s.unansweredAt = max(s.unansweredAt, sent)
-	if end := sent + c.formerLeaseTime(); s.bornMS != asked.BornMS && s.formerLeasesEndAt < end {
+	s.unansweredAt = c.now
+	if end := c.now + c.formerLeaseTime(); s.bornMS != asked.BornMS && s.formerLeasesEndAt < end {
 		s.formerLeasesEndAt = end
 		if s.inLedger {
 			c.records = append(c.records, c.serverRecord(s))
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -115,11 +115,7 @@
 	r := c.findRun(asked.ID, key, attempt)
 	if result == jobs.StartUnknown {
 		c.addUnansweredStart(asked, key, attempt)
-		sent := c.now // at the latest
-		if r != nil {
-			sent = r.sentAt
-		}
-		c.grantUnanswered(asked, sent)
+		c.grantUnanswered(asked)
 	}
 	if r == nil {
 		return
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -229,7 +229,7 @@
 	// An unanswered renewal may still have arrived. The lease of an unresponsive server isn't extended, so that it expires eventually.
 	if s.recvAt > 0 && !s.unresponsive {
 		r.LeaseUntil, r.Wait = c.grantLease(s), s.renewalWait(r.WarmingUp)
-		s.renewalSentAt = c.now
+		s.renewalUnderway = true
 	}
 	return r, true
 }
@@ -269,7 +269,9 @@
 	if s == nil {
 		return
 	}
-	s.unansweredAt, s.renewalSentAt = max(s.unansweredAt, s.renewalSentAt), 0
+	if s.renewalUnderway {
+		s.renewalUnderway, s.unansweredAt = false, c.now
+	}
 	if s.unresponsive {
 		c.serverSilent(s) // a single renewal may be lost
 	}
--- a/jobnode/renewals.go
+++ b/jobnode/renewals.go
@@ -117,7 +117,7 @@
 	report, result := d.servers.Renew(ctx, r.Server, platform.Renewal{LeaseUntil: r.LeaseUntil, Fence: d.role.Epoch, Taken: r.AckCursor, Wait: r.Wait})
 	d.update(func(c *dispatch.Core) {
 		if report.Repeated {
-			c.RenewalRepeated(r, sent)
+			c.RenewalRepeated(r)
 		}
 		if result != platform.RenewalUnanswered && result != platform.RenewalFenced {
 			c.RenewalAnswered(r)
