--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -170,6 +170,7 @@
 
 // dropRuns removes all runs of a server on which nothing can run any more.
 func (c *Core) dropRuns(s *server) {
+	c.collectUnanswered(s)
 	for _, r := range s.runs {
 		c.count("run_lost")
 		c.removeRun(r)
@@ -205,8 +206,8 @@
 	WarmingUp  bool          // a long-running task there isn't serving yet, and others may have to wait for it
 }
 
-// NextRenewal returns the next renewal of a server, or false if the server has been removed.
-func (c *Core) NextRenewal(id string) (Renewal, bool) {
+// NextLook returns a renewal of a server that extends no lease and may be sent beside another one, or false if the server has been removed.
+func (c *Core) NextLook(id string) (Renewal, bool) {
 	s := c.servers[id]
 	if s == nil {
 		return Renewal{}, false
@@ -215,10 +216,20 @@
 	for _, run := range s.runs {
 		r.WarmingUp = r.WarmingUp || run.task.step.spec.LongRunning && run.percent < servingPercent && run.state == runActive
 	}
+	return r, true
+}
+
+// NextRenewal returns the next renewal of a server, or false if the server has been removed. One is sent at a time.
+func (c *Core) NextRenewal(id string) (Renewal, bool) {
+	r, known := c.NextLook(id)
+	if !known {
+		return r, false
+	}
+	s := c.servers[id]
 	// An unanswered renewal may still have arrived. The lease of an unresponsive server isn't extended, so that it expires eventually.
 	if s.recvAt > 0 && !s.unresponsive {
 		r.LeaseUntil, r.Wait = c.grantLease(s), s.renewalWait(r.WarmingUp)
-		s.renewalSentAt = c.now
+		s.renewalUnderway = true
 	}
 	return r, true
 }
@@ -258,7 +269,9 @@
 	if s == nil {
 		return
 	}
-	s.unansweredAt, s.renewalSentAt = max(s.unansweredAt, s.renewalSentAt), 0
+	if s.renewalUnderway {
+		s.renewalUnderway, s.unansweredAt = false, c.now
+	}
 	if s.unresponsive {
 		c.serverSilent(s) // a single renewal may be lost
 	}
@@ -302,7 +315,10 @@
 // under its id at another address and carry out their starts before this dispatcher reaches it.
 func (c *Core) awaitReturn(s *server) {
 	s.unresponsive = true
-	c.reportProblem(s, "server_gone")
+	if !s.replaced {
+		c.reportProblem(s, "server_gone") // each renewal shows it again
+	}
+	s.replaced = true
 	c.serverCrashed(s)
 	c.dropBegunRuns(s)
 }
@@ -311,7 +327,6 @@
 // had begun before it was asked, so the other one is later, even if the server's time of day has gone back and it states an earlier start.
 func (c *Core) ServerRestarted(asked jobs.Server, bornMS int64) {
 	if s := c.servers[asked.ID]; s != nil && s.bornMS == asked.BornMS && bornMS != s.bornMS {
-		s.renewalSentAt = 0
 		c.serverRestarted(s, bornMS)
 	}
 }
@@ -341,7 +356,6 @@
 	if s == nil {
 		return
 	}
-	s.renewalSentAt = 0
 	if r.BornMS != 0 && s.bornMS != 0 && r.BornMS != s.bornMS {
 		if !s.namesSuccessor(r.BornMS) {
 			return
@@ -355,7 +369,7 @@
 	if s.recvAt == 0 {
 		c.fencePredecessors(s)
 	}
-	s.clockMS, s.sentAt, s.recvAt, s.heardAt, s.unresponsive = r.ClockMS, sent, c.now, c.now, false
+	s.clockMS, s.sentAt, s.recvAt, s.heardAt, s.unresponsive, s.replaced = r.ClockMS, sent, c.now, c.now, false, false
 	c.forgetSilence(id) // it was only cut off
 	c.count("report")
 	if len(r.Ended) > 0 && r.Ended[len(r.Ended)-1].Number <= s.lastEnd {
