Report pairs that make room, and let old servers make room

A pair in force whose image made room for another one stayed in force for placement, and neither the event nor the metric took it back. Servers that had left kept their effect: once 4096 were known, a new slow server had none, and its neighbours were blamed for it. On a node that had stopped dispatching the metric kept the factors.

TestPairsThatMakeRoomAreOutOfForce (Involving still held the pair, no change was reported) and TestServersThatHaveLeftMakeRoom (no effect for the new server) failed and pass. The reset of the metric has no test of its own.

--- a/interference/interference.go
+++ b/interference/interference.go
@@ -25,7 +25,8 @@
 	// initialDeviation is the standard deviation of the residuals of a new model, and minDeviation the lowest one, in logarithms.
 	initialDeviation = 0.5
 	minDeviation     = 0.05
-	// serverRate is the weight of a new residual in the effect of a server, and maxServers bounds the servers with an effect.
+	// serverRate is the weight of a new residual in the effect of a server, and maxServers bounds the servers with an effect. The least recently observed
+	// one makes room.
 	serverRate = 0.05
 	maxServers = 4096
 	// minFactor is the lowest factor that is reported, enterErrors the number of standard errors by which an estimate must be above it to come into force,
@@ -79,21 +80,29 @@
 	variance   float64     // of the residuals
 	samples    int
 	lastSeen   int
+	pairLost   bool      // since the last decide, a neighbour in force has made room
 	features   []float64 // of the sample in work
 	gain       []float64
 }
 
+// serverEffect is the mean residual on a server.
+type serverEffect struct {
+	value    float64
+	lastSeen int
+}
+
 // Estimator holds the estimates of all images. The zero value isn't usable.
 type Estimator struct {
-	models  map[string]*model
-	servers map[string]float64 // effect by server
-	partner map[string][]Pair  // pairs in force by image, in both directions
-	seen    int
+	models   map[string]*model
+	servers  map[string]*serverEffect
+	partner  map[string][]Pair // pairs in force by image, in both directions
+	seen     int
+	pairLost bool // in this Observe, a model with a pair in force has made room
 }
 
 // New returns an estimator without samples.
 func New() *Estimator {
-	return &Estimator{models: map[string]*model{}, servers: map[string]float64{}, partner: map[string][]Pair{}}
+	return &Estimator{models: map[string]*model{}, servers: map[string]*serverEffect{}, partner: map[string][]Pair{}}
 }
 
 // Observe adds a sample. Samples without an image or a positive value are ignored. It reports whether the pairs in force have changed.
@@ -102,26 +111,45 @@
 		return false
 	}
 	e.seen++
+	e.pairLost = false
 	m := e.model(s.Image)
 	m.lastSeen = e.seen
 	m.setFeatures(s, e.seen)
-	y := math.Log(s.Value) - e.servers[s.Server]
+	server := e.server(s.Server)
+	y := math.Log(s.Value) - server.value
 	if m.samples == 0 {
 		m.beta[0] = y
 	}
 	residual := y - m.predict()
-	if e.servers[s.Server] != 0 || len(e.servers) < maxServers {
-		limit := maxResidual * math.Sqrt(m.variance)
-		e.servers[s.Server] = (1-serverRate)*e.servers[s.Server] + serverRate*min(max(residual, -limit), limit)
-	}
+	limit := maxResidual * math.Sqrt(m.variance)
+	server.value = (1-serverRate)*server.value + serverRate*min(max(residual, -limit), limit)
 	m.update(residual)
-	if !m.decide() {
+	if !m.decide() && !e.pairLost {
 		return false
 	}
 	e.rebuild()
 	return true
 }
 
+func (e *Estimator) server(id string) *serverEffect {
+	s := e.servers[id]
+	if s == nil {
+		if len(e.servers) >= maxServers {
+			oldest, lastSeen := "", e.seen
+			for other, o := range e.servers {
+				if o.lastSeen < lastSeen {
+					oldest, lastSeen = other, o.lastSeen
+				}
+			}
+			delete(e.servers, oldest)
+		}
+		s = &serverEffect{}
+		e.servers[id] = s
+	}
+	s.lastSeen = e.seen
+	return s
+}
+
 func (e *Estimator) model(image string) *model {
 	if m := e.models[image]; m != nil {
 		return m
@@ -133,8 +161,8 @@
 				oldest = name
 			}
 		}
+		e.pairLost = slices.ContainsFunc(e.models[oldest].neighbours, func(n neighbour) bool { return n.inForce })
 		delete(e.models, oldest)
-		e.rebuild()
 	}
 	m := &model{variance: initialDeviation * initialDeviation}
 	m.grow()
@@ -201,6 +229,7 @@
 		copy(m.features, features)
 		return len(m.neighbours) - 1
 	}
+	m.pairLost = m.pairLost || m.neighbours[oldest].inForce
 	m.neighbours[oldest] = neighbour{image: image}
 	m.features[oldest+1] = 0
 	m.reset(oldest + 1)
@@ -254,7 +283,8 @@
 
 // decide brings estimates into force and out of it. It reports whether a pair or its factor has changed noticeably.
 func (m *model) decide() bool {
-	changed := false
+	changed := m.pairLost
+	m.pairLost = false
 	for i := range m.neighbours {
 		n := &m.neighbours[i]
 		estimate := m.beta[i+1]
--- a/interference/interference_test.go
+++ b/interference/interference_test.go
@@ -147,3 +147,38 @@
 		e.Observe(w.sample())
 	}
 }
+
+// Guards against placement by a pair whose image has made room for others, and against a change that isn't reported.
+func TestPairsThatMakeRoomAreOutOfForce(t *testing.T) {
+	for _, evictModel := range []bool{false, true} {
+		e, w := New(), newWorkload(1, 4)
+		w.factors[[2]string{"image-0", "image-1"}] = 2
+		w.run(e, samplesToFind)
+		require.Len(t, e.Pairs(), 1)
+		reported := false
+		for i := range max(maxImages, maxNeighbours) {
+			s := Sample{Image: "image-0", Server: "s0", Value: 100, Beside: []Neighbour{{fmt.Sprintf("new-%d", i), 1}}}
+			if evictModel {
+				s = Sample{Image: fmt.Sprintf("new-%d", i), Server: "s0", Value: 100}
+			}
+			reported = e.Observe(s) || reported
+		}
+		assert.Empty(t, e.Pairs())
+		assert.Empty(t, e.Involving("image-1"))
+		assert.True(t, reported)
+	}
+}
+
+// Guards against servers that have no effect because servers that left long ago fill the room.
+func TestServersThatHaveLeftMakeRoom(t *testing.T) {
+	e := New()
+	for i := range 2 * maxServers {
+		e.Observe(Sample{Image: "a", Server: fmt.Sprint(i), Value: 100 + float64(i%2)})
+	}
+	for range 200 {
+		e.Observe(Sample{Image: "a", Server: "new", Value: 300})
+	}
+	assert.Len(t, e.servers, maxServers)
+	require.NotNil(t, e.servers["new"])
+	assert.Greater(t, e.servers["new"].value, 0.3)
+}
--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -96,6 +96,7 @@
 	}
 	wg.Wait()
 	d.release()
+	n.metrics.interference.Reset()
 	events.Log(n.log, events.DispatcherStopped, role.Epoch)
 	d.flushEventCounts()
 }
