Count both directions of a pair of an image with itself

A task beside others of its image, which slow each other down, cost one direction only; pairs of two images count what the start does to the task and to those there. TestSlowdownCostsBothWays failed for such a pair and passes.

--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -126,7 +126,11 @@
 	}
 	cost := 0.0
 	for _, p := range c.estimator.Involving(image) {
-		if n := s.images[p.Other(image)]; n > 0 {
+		n := s.images[p.Other(image)]
+		if p.Image == p.Beside {
+			n *= 2 // those there slow the task down, and it them
+		}
+		if n > 0 {
 			cost += costSlowdown * float64(n) * math.Log2(p.Factor)
 		}
 	}
--- a/dispatch/interference_test.go
+++ b/dispatch/interference_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -91,6 +92,22 @@
 	return e
 }
 
+// Guards against a pair whose one direction counts twice, and against a pair of an image with itself that counts one way only.
+func TestSlowdownCostsBothWays(t *testing.T) {
+	for _, images := range [][]string{{victimImage, disturberImage}, {victimImage, victimImage}} {
+		c, _ := randomPool(rand.New(rand.NewPCG(1, 1)))
+		c.estimator, c.avoidInterference = withPairs(t, images...), true
+		s := &server{images: map[string]int{images[1]: 3}}
+		tsk := (&job{sub: &jobs.Submission{Spec: jobs.Spec{Steps: []jobs.Step{{Count: 1, Image: images[0]}}}}, occurrences: map[int]*occurrence{}}).addOccurrence(0).steps[0].tasks[0]
+		oneWay := 3 * costSlowdown * math.Log2(c.estimator.Pairs()[0].Factor)
+		ways := 1.0
+		if images[0] == images[1] {
+			ways = 2
+		}
+		assert.InDelta(t, ways*oneWay, c.slowdownCost(tsk, s), 1e-9)
+	}
+}
+
 // Guards against a task that doesn't start because all servers with room have a task beside which it would be slow, and against a search that misses the
 // best server.
 func TestInterferenceCostsNoStart(t *testing.T) {
