Let rejected callers beyond their share delay only one another

A caller is told to return after all who were rejected before it. Those of a workspace that sends many times its usual counted too, though they are rejected again when they return: with 100 s of their work at ten servers, a caller of another workspace was told to return in 10.2 s in place of 2.7 s.

TestCallersWaitForNoWorkspaceBeyondItsShare fails if their work counts for all.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -45,6 +45,18 @@
 	firstAt, retryAt time.Duration
 	service          string
 	backlog          time.Duration
+	reason           loadshed.Reason
+}
+
+// addTo counts the caller among those of its service who will return.
+func (r rejection) addTo(loads map[string]loadshed.ServiceLoad) {
+	load := loads[r.service]
+	if r.reason == loadshed.OverShare {
+		load.ReturningOver += r.backlog
+	} else {
+		load.Returning += r.backlog
+	}
+	loads[r.service] = load
 }
 
 // admission is the state behind the decisions on new jobs.
@@ -129,12 +141,11 @@
 		r.firstAt = c.now
 		c.addArrival(j) // the autoscaler must provide machines for what is submitted, not only for what is accepted
 	}
-	if c.now >= r.retryAt {
-		load := c.admission.loads[a.service]
-		load.Returning += a.backlog
-		c.admission.loads[a.service] = load
+	counted := c.now < r.retryAt
+	r.retryAt, r.service, r.backlog, r.reason = c.now+v.Return, a.service, a.backlog, v.Reason
+	if !counted {
+		r.addTo(c.admission.loads)
 	}
-	r.retryAt, r.service, r.backlog = c.now+v.Return, a.service, a.backlog
 	c.admission.rejections[j.sub.ID] = r
 	c.count("job_turned_away_" + string(v.Reason))
 }
@@ -152,9 +163,7 @@
 	c.measureJobs()
 	for _, r := range a.rejections {
 		if r.retryAt > c.now {
-			load := a.loads[r.service]
-			load.Returning += r.backlog
-			a.loads[r.service] = load
+			r.addTo(a.loads)
 		}
 	}
 }
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"example.org/comfreyrouter/jobs"
+	"example.org/comfreyrouter/loadshed"
 	"example.org/comfreyrouter/waitorder"
 )
 
@@ -165,3 +166,35 @@
 	assert.Positive(t, sim.core.TakeEventCounts()["job_beyond_share"])
 	assert.Empty(t, sim.core.poolUsage)
 }
+
+// TestRejectedCallersOfAWorkspaceBeyondItsShareDelayNoOthers guards against a workspace that sends many times its usual and whose rejected callers put off
+// those of all others.
+func TestRejectedCallersOfAWorkspaceBeyondItsShareDelayNoOthers(t *testing.T) {
+	sim := newSimulation(36, 4)
+	sim.run(admitAllPeriod)
+	sim.config.Workspaces = []jobs.Workspace{{Name: "w", Weight: 100}, {Name: "hot", Weight: 1}}
+	sim.core.SetConfiguration(sim.config)
+	sim.run(300 * time.Millisecond)
+	sim.submitMany(0x100, 120)
+	sim.run(3 * time.Second)
+	for i := range 10 {
+		sim.submitFor("hot", fmt.Sprintf("%016x", 0x200+i), stepOf(1, 1000))
+	}
+	sim.run(100 * time.Millisecond)
+	over := 0
+	for i := range 100 {
+		sub := quoteJob(sim, fmt.Sprintf("%016x", 0x500+i))
+		sub.Workspace = "hot"
+		if v := sim.core.Admit(sub); v.Reason == loadshed.OverShare {
+			over++
+		}
+	}
+	require.Greater(t, over, 50)
+	load := sim.core.currentLoad("pool")
+	assert.Zero(t, load.Returning)
+	assert.Greater(t, load.ReturningOver, time.Minute)
+	sim.run(measureInterval)
+	load = sim.core.ServiceLoads()["pool"]
+	assert.Zero(t, load.Returning, "after a new measurement too")
+	assert.Greater(t, load.ReturningOver, time.Minute)
+}
--- a/loadshed/loadshed.go
+++ b/loadshed/loadshed.go
@@ -37,6 +37,7 @@
 	ArrivingServers float64       // servers that become available within ArrivingIn
 	ArrivingIn      time.Duration
 	Returning       time.Duration // server time of the rejected jobs whose callers have been told to retry and haven't yet
+	ReturningOver   time.Duration // the same of those rejected because their workspaces send more than their shares; not part of Returning
 }
 
 // drainTime returns how long the service's servers take for an amount of work.
@@ -109,10 +110,12 @@
 	if wait == 0 || !s.overloaded() {
 		return Verdict{Accepted: true}
 	}
-	turn := s.drainTime(s.Returning) // those who were rejected earlier return first, and no faster than the servers can take them
+	// Those who were rejected earlier return first, and no faster than the servers can take them. Nobody waits for workspaces beyond their shares but
+	// they themselves.
 	if j.OverShare {
-		return Verdict{Reason: OverShare, Return: retryDelay(wait+turn, j.ID)}
+		return Verdict{Reason: OverShare, Return: retryDelay(wait+s.drainTime(s.Returning+s.ReturningOver), j.ID)}
 	}
+	turn := s.drainTime(s.Returning)
 	slack := j.Objective - j.CriticalPath
 	if !j.ScheduledRetry {
 		slack -= j.Elapsed
--- a/loadshed/loadshed_test.go
+++ b/loadshed/loadshed_test.go
@@ -176,3 +176,16 @@
 	assert.Less(t, rejected, 1-lateLast, "only jobs that would be late")
 	assert.Greater(t, rejected, 0.1, "jobs that would wait long are rejected at once")
 }
+
+// TestCallersWaitForNoWorkspaceBeyondItsShare guards against a workspace that sends many times its usual and whose rejected callers put off those of all
+// others.
+func TestCallersWaitForNoWorkspaceBeyondItsShare(t *testing.T) {
+	s := ServiceLoad{Servers: 10, Backlog: 30 * time.Second, LateBacklog: 60 * time.Second}
+	before := Decide(s, interactiveJob)
+	require.False(t, before.Accepted)
+	s.ReturningOver = 100 * time.Second
+	assert.Equal(t, before, Decide(s, interactiveJob))
+	over := interactiveJob
+	over.OverShare = true
+	assert.Greater(t, Decide(s, over).Return, before.Return, "its own callers return in turn")
+}
