--- a/dispatch/random_test.go
+++ b/dispatch/random_test.go
@@ -27,6 +27,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		sim := newSimulation(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(2, 5).Draw(rt, "servers"))
 		ops := rapid.SliceOfN(rapid.IntRange(0, 12), 5, 40).Draw(rt, "ops")
+		sim.storeDelay = time.Duration(rapid.SampledFrom([]int{0, 300, 700, 1500, 3000}).Draw(rt, "storeDelay")) * time.Millisecond
 		for i, op := range ops {
 			sim.injectFault(i, op)
 			sim.run(time.Duration(200+sim.rng.IntN(1500)) * time.Millisecond)
@@ -45,7 +46,7 @@
 
 // endFaults ends all faults.
 func (sim *simulation) endFaults() {
-	sim.lossRate, sim.predecessor, sim.storeDown = 0, nil, false
+	sim.lossRate, sim.predecessor, sim.storeDown, sim.storeDelay = 0, nil, false, 0
 	for _, s := range sim.servers {
 		if !s.up {
 			sim.restart(s)
