Begin moves for a sudden rise when they are due

A peak's needs were looked at in their order up to the first that isn't due yet.

TestLaterNeedsOfAPeakMayBeDueFirst fails without the change.

--- a/autoscale/autoscale.go
+++ b/autoscale/autoscale.go
@@ -245,10 +245,9 @@
 	machines := 0
 	for i, need := range pool.PeakNeeds {
 		n := machinesFor(need, capacity)
-		if pool.PeakIn+time.Duration(i-1)*pool.PeakStep > leadTime(n-current) { // one step early, since moves are planned about once a step
-			break
+		if pool.PeakIn+time.Duration(i-1)*pool.PeakStep <= leadTime(n-current) { // one step early, since moves are planned about once a step
+			machines = max(machines, n) // a need that isn't due yet may come before one that is, since more machines take longer
 		}
-		machines = n
 	}
 	return machines
 }
--- a/autoscale/turns_test.go
+++ b/autoscale/turns_test.go
@@ -46,3 +46,16 @@
 	t.Logf("%v of machines idle", idle)
 	assert.Less(t, idle, 20*time.Second, "two machines for 5 s, and each other one for a quarter of a second")
 }
+
+// TestLaterNeedsOfAPeakMayBeDueFirst guards against machines for a sudden rise that are ordered only when the need before it is due: each machine that moves
+// adds to the time that all take.
+func TestLaterNeedsOfAPeakMayBeDueFirst(t *testing.T) {
+	capacity := jobs.Resources{CPU: 64000, MemoryMB: 64000}
+	small, large := jobs.Resources{CPU: 4 * 64000}, jobs.Resources{CPU: 80 * 64000}
+	pool := Pool{PeakNeeds: []jobs.Resources{small, small, large}, PeakStep: 250 * time.Millisecond}
+	want := machinesFor(large, capacity)
+	pool.PeakIn = leadTime(want-5) - pool.PeakStep // the large need arises two steps after the peak begins
+	assert.Equal(t, want, machinesForPeak(pool, capacity, 5))
+	pool.PeakIn += 10 * time.Millisecond
+	assert.Less(t, machinesForPeak(pool, capacity, 5), want, "it isn't due yet")
+}
