Leave net/http its own body of a guarded request

A handler in front of all others replaced the body in net/http's request. net/http then didn't see that a client awaits 100 Continue, or that an unread body is larger than it discards, and held back the answer until the body came or was refused as too slow after 10 s. Also: a read of the connection of a request that is complete isn't answered as refused when the budget is exceeded, and victims aren't sorted when what is being closed is enough.

--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -304,8 +304,11 @@
 	}
 	// What is refused is released only when its handler has ended. Until then only small requests go on.
 	if g.held.Load() > budget+budget/2 && self.held.Load() > smallRequest {
-		self.refuse(OutOfMemory)
-		return false
+		return !self.refuse(OutOfMemory)
+	}
+	left := budget - budget/8 // makes room for more than one read, so that the connections are sorted less often
+	if held <= left {
+		return !self.refused() // what is being closed is enough
 	}
 	slices.SortFunc(victims, func(a, b victim) int {
 		if a.stalled != b.stalled {
@@ -313,7 +316,6 @@
 		}
 		return cmp.Or(cmp.Compare(groups[b.group], groups[a.group]), cmp.Compare(b.held, a.held))
 	})
-	left := budget - budget/8 // makes room for more than one read, so that the connections are sorted less often
 	for _, v := range victims {
 		if held <= left {
 			break
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -38,7 +38,10 @@
 			return
 		}
 		if r.Body != nil && r.Body != http.NoBody {
-			r.Body = &body{r.Body, c, w}
+			// A copy: net/http has to find its own body in its request, or it waits for the rest of an unread one before it answers.
+			copied := r.WithContext(r.Context())
+			copied.Body = &body{r.Body, c, w}
+			r = copied
 		}
 		next.ServeHTTP(w, r)
 	})
