Tell the clients of a node apart by the workspaces of known keys

A key was taken as the name of a client before it was checked. With a new key on each connection, a crowd counted as many clients that hold little, and the calls of an ordinary workspace as the client that holds most, which is refused first.

--- a/jobnode/guards.go
+++ b/jobnode/guards.go
@@ -1,6 +1,8 @@
 package jobnode
 
 import (
+	"net/http"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"example.org/comfreyrouter/events"
@@ -17,7 +19,7 @@
 // newGuards returns the bounds of the callers' and the readiness listener, and registers their metrics.
 func (n *Node) newGuards() (callers, ready *ingress.Guard) {
 	conns, budget := ingress.Size(n.settings.MemoryMB, ingress.Descriptors(n.settings.Descriptors))
-	callers = ingress.NewGuard(ingress.Options{MaxConns: conns, Budget: budget, Group: platform.CallerKey, OnRefused: n.logRefused("callers")})
+	callers = ingress.NewGuard(ingress.Options{MaxConns: conns, Budget: budget, Group: n.operators.workspaceOf, OnRefused: n.logRefused("callers")})
 	ready = ingress.NewGuard(ingress.Options{MaxConns: maxReadyConns, Budget: readyBudget, OnRefused: n.logRefused("ready")})
 	n.metrics.registry.MustRegister(
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "comfreyrouter_caller_connections", Help: "Open connections of callers."},
@@ -42,3 +44,12 @@
 	n.callerGuard.SetBudget(budget / 2)
 	return func() { n.callerGuard.SetBudget(budget) }
 }
+
+// workspaceOf returns the workspace of a call's key. A key that isn't known names none: with a new one for each connection, a client would never be the one
+// that holds most.
+func (o *operatorFollower) workspaceOf(r *http.Request) string {
+	key := platform.CallerKey(r)
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	return o.keys[key]
+}
