Count the steps of a job before they are decoded

A body of 240 KB, within all limits, with 80,000 empty steps took 17 MB and more while it was decoded: 300 connections to each of two nodes took them to 434 and 300 MB (bound 96 MB), with the bounds on clients in place. Texts of callers in log lines are cut also where they are part of an error.

--- a/internal/hostile/crowd_test.go
+++ b/internal/hostile/crowd_test.go
@@ -59,6 +59,7 @@
 	longLine       = strings.Repeat("x", 64<<10)
 	emptyLines     = strings.Repeat("\r\n", 16<<10)
 	body           = strings.Repeat(" ", 250_000)
+	manySteps      = `{"spec":"x","pipeline":[` + strings.Repeat("{},", 80_000) + `{}]}`
 )
 
 // distinctLines returns header lines with different names and a value that is empty but for spaces, of about the given number of bytes.
@@ -123,6 +124,9 @@
 			}
 		}
 	},
+	"many-steps": func(c *client) {
+		c.send(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", c.head(), len(manySteps), manySteps))
+	},
 	"short-of-end": func(c *client) {
 		c.send(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", c.head(), len(body)+1, body))
 	},
--- a/internal/hostile/hostile_test.go
+++ b/internal/hostile/hostile_test.go
@@ -40,6 +40,7 @@
 	{"endless-head", crowdPerTarget, manyDescriptors, true},
 	{"empty-lines", crowdPerTarget, manyDescriptors, false},
 	{"whole-bodies", crowdOfBodies, manyDescriptors, false},
+	{"many-steps", crowdOfBodies, manyDescriptors, false},
 	{"short-of-end", crowdOfBodies, manyDescriptors, true},
 	{"bodies-in-pieces", crowdOfBodies, manyDescriptors, false},
 	{"chunks", crowdOfBodies, manyDescriptors, true},
--- a/jobnode/api.go
+++ b/jobnode/api.go
@@ -62,7 +62,7 @@
 	case t.id == "" && c.Request().Method == http.MethodGet:
 		return h.pending(c, t)
 	case !jobs.ValidID(t.id):
-		return h.refuse(c, errkind.New(errkind.BadRequest, "%q is not the id of a job", t.id))
+		return h.refuse(c, errkind.New(errkind.BadRequest, "%q is not the id of a job", truncatePath(t.id)))
 	}
 	switch c.Request().Method {
 	case http.MethodPost:
@@ -83,7 +83,7 @@
 	}
 	route := findRoute(v.config, r.Host, r.URL.Path)
 	if route == nil {
-		return target{}, errkind.New(errkind.QueueUnknown, "no queue for %s%s", r.Host, r.URL.Path)
+		return target{}, errkind.New(errkind.QueueUnknown, "no queue for %s%s", truncatePath(r.Host), truncatePath(r.URL.Path))
 	}
 	t := target{route: route, id: strings.TrimPrefix(r.URL.Path, route.Prefix), view: v}
 	if route.Public {
--- a/jobs/validate.go
+++ b/jobs/validate.go
@@ -1,10 +1,13 @@
 package jobs
 
-import "example.org/comfreyrouter/errkind"
+import (
+	"example.org/comfreyrouter/errkind"
+	"example.org/comfreyrouter/internal/boundedjson"
+)
 
 // Limits of a job, which reject input that no fleet could run. They are far above what members submit.
 const (
-	maxSteps       = 64
+	maxSteps       = boundedjson.MaxValues
 	maxTasks       = 20_000 // of all steps
 	maxTextBytes   = 4_000  // the platform accepts no more
 	maxOccurrences = 5_000  // the progress of all occurrences must fit into one record of 256 KB
