Let heads that come by the byte make room for callers

A head that has taken 2 s counts as stalled, and what was opened or used within the second goes last.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -49,6 +49,7 @@
 	reason     Reason
 	closed     bool
 	progressAt int64 // tick of the last byte
+	headAt     int64 // tick at which the head began
 	bodyAt     int64 // tick at which the body began
 	body       int64 // bytes of it
 	head       int64 // bytes of the head, and its lines
@@ -100,6 +101,9 @@
 	cost := n * costOfBodyByte
 	switch c.phase {
 	case quiet, inHead:
+		if c.phase == quiet {
+			c.headAt = c.progressAt
+		}
 		c.phase = inHead
 		lines := int64(bytes.Count(data, []byte{'\n'}))
 		c.head += n
@@ -290,7 +294,7 @@
 func (c *Conn) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.head, c.lines = quiet, 0, 0
+	c.phase, c.head, c.lines, c.progressAt = quiet, 0, 0, c.guard.now.Load()
 	if c.closed {
 		return
 	}
@@ -305,9 +309,12 @@
 	if c.isRefused || c.closed {
 		return v, true
 	}
+	if c.phase == inHead {
+		v.progressAt = c.headAt // a head comes at once; one that comes byte by byte doesn't progress
+	}
 	if c.phase != serving {
 		v.conn = c
-		v.stalled = now-c.progressAt >= stalledTicks
+		v.stalled = now-v.progressAt >= stalledTicks
 	}
 	return v, false
 }
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -233,7 +233,7 @@
 }
 
 // makeRoom refuses connections until at least n are being closed, and reports whether they are. Those without a request go first, the oldest of them before
-// the others, and then those that have stalled. The lock must be held.
+// the others, then those that have stalled, and last those that have just been opened. The lock must be held.
 func (g *Guard) makeRoom(n int) bool {
 	now := g.now.Load()
 	var victims []victim
@@ -247,10 +247,7 @@
 		}
 	}
 	slices.SortFunc(victims, func(a, b victim) int {
-		if a.quiet != b.quiet {
-			return boolOrder(a.quiet, b.quiet)
-		}
-		return cmp.Compare(a.progressAt, b.progressAt)
+		return cmp.Or(boolOrder(b.fresh(now), a.fresh(now)), boolOrder(a.quiet, b.quiet), cmp.Compare(a.progressAt, b.progressAt))
 	})
 	for _, v := range victims {
 		if n <= 0 {
@@ -337,6 +334,9 @@
 	progressAt int64
 }
 
+// fresh reports whether a connection without a request was opened or used so recently that a request may be on its way.
+func (v victim) fresh(now int64) bool { return v.quiet && now == v.progressAt }
+
 // addressOf returns the address of a client without its port.
 func addressOf(conn net.Conn) string {
 	host, _, err := net.SplitHostPort(conn.RemoteAddr().String())
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -238,6 +238,25 @@
 	require.Nil(t, busy.admit(&fakeConn{address: "10.0.0.1:2"}))
 }
 
+// TestHeadsByTheByteMakeRoom guards against heads that come a byte at a time and so keep callers out, and against a connection that has just been opened and
+// goes before them.
+func TestHeadsByTheByteMakeRoom(t *testing.T) {
+	g := NewGuard(Options{MaxConns: 2})
+	slow, err := open(t, g, "10.0.0.1:1", "POST /q")
+	require.NoError(t, err)
+	for range stalledTicks {
+		g.advance()
+		slow.Conn.(*fakeConn).pieces = [][]byte{[]byte("x")}
+		require.NoError(t, readAll(slow, 1))
+	}
+	opened, err := open(t, g, "10.0.0.2:1", "")
+	require.NoError(t, err)
+	_, err = open(t, g, "10.0.0.2:2", "")
+	require.NoError(t, err)
+	require.True(t, slow.refused())
+	require.False(t, opened.refused())
+}
+
 // TestSlowBodiesAreRefused guards against bodies that stop short of their end and stay open.
 func TestSlowBodiesAreRefused(t *testing.T) {
 	counts := map[Reason]int{}
