Count no pipelined requests as the head of the one before them

net/http reads on before the handler of a request without a body runs. If what had come in the same read took the count over the limit, the request got 431, or two answers. The head now ends when net/http says that it has read it.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -242,6 +242,15 @@
 	}
 }
 
+// endHead records that the head of a request has been read. net/http reads on, for what follows a request without a body, before a handler has the request.
+func (c *Conn) endHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == inHead {
+		c.phase, c.bodyAt, c.body = inBody, c.guard.now.Load(), 0
+	}
+}
+
 // begin passes a request to a handler. It reports false if the request was refused before.
 func (c *Conn) begin(r *http.Request) bool {
 	group := ""
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -17,8 +17,12 @@
 
 // State follows the state of a connection. It is for http.Server.ConnState.
 func (c *Conn) State(state http.ConnState) {
-	if state == http.StateIdle {
+	switch state {
+	case http.StateActive:
+		c.endHead()
+	case http.StateIdle:
 		c.end()
+	case http.StateNew, http.StateHijacked, http.StateClosed:
 	}
 }
 
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -128,6 +128,18 @@
 	}
 }
 
+// TestPipelinedRequestsAreNoHead guards against a request within the limit that is refused because of the requests that came in one read with it.
+func TestPipelinedRequestsAreNoHead(t *testing.T) {
+	g := NewGuard(Options{HeaderBytes: 1000})
+	c, err := open(t, g, "10.0.0.1:1", strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 100))
+	require.NoError(t, err)
+	c.State(http.StateActive)
+	c.Conn.(*fakeConn).pieces = [][]byte{[]byte("G")}
+	require.NoError(t, readAll(c, 1), "net/http reads on before the handler has the request")
+	require.True(t, c.begin(&http.Request{Header: http.Header{}}))
+	require.Empty(t, c.Conn.(*fakeConn).written.String())
+}
+
 // TestTheLimitOfHeadsChanges guards against a limit of the configuration that isn't used.
 func TestTheLimitOfHeadsChanges(t *testing.T) {
 	g := NewGuard(Options{HeaderBytes: 1000})
