--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -49,6 +49,7 @@
 	reason     Reason
 	closed     bool
 	progressAt int64 // tick of the last byte
+	headAt     int64 // tick at which the head began
 	bodyAt     int64 // tick at which the body began
 	body       int64 // bytes of it
 	head       int64 // bytes of the head, and its lines
@@ -100,6 +101,9 @@
 	cost := n * costOfBodyByte
 	switch c.phase {
 	case quiet, inHead:
+		if c.phase == quiet {
+			c.headAt = c.progressAt
+		}
 		c.phase = inHead
 		lines := int64(bytes.Count(data, []byte{'\n'}))
 		c.head += n
@@ -238,6 +242,15 @@
 	}
 }
 
+// endHead records that the head of a request has been read. net/http reads on, for what follows a request without a body, before a handler has the request.
+func (c *Conn) endHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == inHead {
+		c.phase, c.bodyAt, c.body = inBody, c.guard.now.Load(), 0
+	}
+}
+
 // begin passes a request to a handler. It reports false if the request was refused before.
 func (c *Conn) begin(r *http.Request) bool {
 	group := ""
@@ -290,7 +303,7 @@
 func (c *Conn) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.head, c.lines = quiet, 0, 0
+	c.phase, c.head, c.lines, c.progressAt = quiet, 0, 0, c.guard.now.Load()
 	if c.closed {
 		return
 	}
@@ -305,9 +318,12 @@
 	if c.isRefused || c.closed {
 		return v, true
 	}
+	if c.phase == inHead {
+		v.progressAt = c.headAt // a head comes at once; one that comes byte by byte doesn't progress
+	}
 	if c.phase != serving {
 		v.conn = c
-		v.stalled = now-c.progressAt >= stalledTicks
+		v.stalled = now-v.progressAt >= stalledTicks
 	}
 	return v, false
 }
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -17,8 +17,12 @@
 
 // State follows the state of a connection. It is for http.Server.ConnState.
 func (c *Conn) State(state http.ConnState) {
-	if state == http.StateIdle {
+	switch state {
+	case http.StateActive:
+		c.endHead()
+	case http.StateIdle:
 		c.end()
+	case http.StateNew, http.StateHijacked, http.StateClosed:
 	}
 }
 
@@ -38,7 +42,10 @@
 			return
 		}
 		if r.Body != nil && r.Body != http.NoBody {
-			r.Body = &body{r.Body, c, w}
+			// A copy: net/http has to find its own body in its request, or it waits for the rest of an unread one before it answers.
+			copied := r.WithContext(r.Context())
+			copied.Body = &body{r.Body, c, w}
+			r = copied
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -128,6 +128,18 @@
 	}
 }
 
+// TestPipelinedRequestsAreNoHead guards against a request within the limit that is refused because of the requests that came in one read with it.
+func TestPipelinedRequestsAreNoHead(t *testing.T) {
+	g := NewGuard(Options{HeaderBytes: 1000})
+	c, err := open(t, g, "10.0.0.1:1", strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 100))
+	require.NoError(t, err)
+	c.State(http.StateActive)
+	c.Conn.(*fakeConn).pieces = [][]byte{[]byte("G")}
+	require.NoError(t, readAll(c, 1), "net/http reads on before the handler has the request")
+	require.True(t, c.begin(&http.Request{Header: http.Header{}}))
+	require.Empty(t, c.Conn.(*fakeConn).written.String())
+}
+
 // TestTheLimitOfHeadsChanges guards against a limit of the configuration that isn't used.
 func TestTheLimitOfHeadsChanges(t *testing.T) {
 	g := NewGuard(Options{HeaderBytes: 1000})
@@ -238,6 +250,25 @@
 	require.Nil(t, busy.admit(&fakeConn{address: "10.0.0.1:2"}))
 }
 
+// TestHeadsByTheByteMakeRoom guards against heads that come a byte at a time and so keep callers out, and against a connection that has just been opened and
+// goes before them.
+func TestHeadsByTheByteMakeRoom(t *testing.T) {
+	g := NewGuard(Options{MaxConns: 2})
+	slow, err := open(t, g, "10.0.0.1:1", "POST /q")
+	require.NoError(t, err)
+	for range stalledTicks {
+		g.advance()
+		slow.Conn.(*fakeConn).pieces = [][]byte{[]byte("x")}
+		require.NoError(t, readAll(slow, 1))
+	}
+	opened, err := open(t, g, "10.0.0.2:1", "")
+	require.NoError(t, err)
+	_, err = open(t, g, "10.0.0.2:2", "")
+	require.NoError(t, err)
+	require.True(t, slow.refused())
+	require.False(t, opened.refused())
+}
+
 // TestSlowBodiesAreRefused guards against bodies that stop short of their end and stay open.
 func TestSlowBodiesAreRefused(t *testing.T) {
 	counts := map[Reason]int{}
