Decide on admission without recording it

Admit decided and recorded in one function, so nothing could ask for the verdict alone. decideAdmission decides; Admit records. No decision changes.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -69,9 +69,27 @@
 
 // Admit decides whether a submitted job is accepted. Long-running and scheduled jobs always are, and so are jobs that may already be stored.
 func (c *Core) Admit(sub *jobs.Submission) loadshed.Verdict {
-	if sub.Spec.LongRunning() || sub.Spec.Scheduled() || c.jobs[sub.ID] != nil || c.endedJobs[sub.ID] {
+	if c.alwaysAdmitted(sub) {
 		return loadshed.Verdict{Accepted: true}
 	}
+	j, v, a := c.decideAdmission(sub)
+	if !v.Accepted {
+		c.reject(j, v, a)
+		return v
+	}
+	delete(c.admission.rejections, sub.ID)
+	c.MarkAccepted(sub.ID)
+	c.admission.admitted[sub.ID] = a
+	c.count("job_admitted")
+	return v
+}
+
+func (c *Core) alwaysAdmitted(sub *jobs.Submission) bool {
+	return sub.Spec.LongRunning() || sub.Spec.Scheduled() || c.jobs[sub.ID] != nil || c.endedJobs[sub.ID]
+}
+
+// decideAdmission returns the verdict on a job that may be rejected, and what its admission would add to the load. It records nothing but measurements.
+func (c *Core) decideAdmission(sub *jobs.Submission) (*job, loadshed.Verdict, admittedJob) {
 	c.updateLoads()
 	j := &job{sub: sub, submittedAt: c.now, occurrences: map[int]*occurrence{}}
 	o := j.addOccurrence(0)
@@ -82,15 +100,7 @@
 	if !acceptedBefore && c.now-c.admission.startedAt >= admitAllPeriod {
 		v = loadshed.Decide(c.currentLoad(a.service), c.admissionJob(o, a.demand))
 	}
-	if !v.Accepted {
-		c.reject(j, v, a)
-		return v
-	}
-	delete(c.admission.rejections, sub.ID)
-	c.MarkAccepted(sub.ID)
-	c.admission.admitted[sub.ID] = a
-	c.count("job_admitted")
-	return v
+	return j, v, a
 }
 
 // ServiceLoads returns the load of each service, without accepted jobs that haven't arrived yet.
