Answer operators who ask where a job would go

comfreyctl explain sends the call to the dispatcher over the operators' interface, which finds queue and key with the callers' own code and answers with Core.Explain. TestExplainOverTheOperatorsInterface asks both nodes of a fleet and finds that nothing was stored or started.

--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -51,6 +51,7 @@
 		{name: "dispatcher", help: "show the dispatcher of the jobs, the load of each service and its jobs by state", run: dispatcherStatus},
 		{name: "interference", help: "list the pairs of images whose tasks slow each other down", run: interferenceList},
 		{name: "evacuations", argNames: "[DATA CENTRE...]", help: "list the evacuated data centres and what they leave to each service", max: unlimitedArgs, flags: evacuationFlags, run: evacuations},
+		{name: "explain", argNames: "-f JOB.json [-key KEY] HOST PATH", help: "say where a job would go now, and why, without sending it", min: 2, max: 2, flags: explainFlags, run: explain},
 		{name: "apply", argNames: "-f DIR", help: "show and publish the difference between declarations and what is in force", flags: applyFlags, run: apply},
 		{name: "check", argNames: "FILE|DIR", help: "check a settings file or a directory of declarations", min: 1, max: 1, offline: true, run: check},
 	}
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -55,7 +55,9 @@
 	pool   string // the only pool whose VMs are listed
 	dir    string // directory of declarations
 	dryRun bool
-	yes    bool // publish without asking
+	yes    bool   // publish without asking
+	file   string // with a job
+	key    string // of a caller
 }
 
 type usageError struct{ message string }
--- a/jobnode/api.go
+++ b/jobnode/api.go
@@ -77,20 +77,23 @@
 
 // target finds the queue of a call and checks the caller's key.
 func (h *apiHandler) target(r *http.Request) (target, error) {
-	v := h.node.operators.view()
+	return findTarget(h.node.operators.view(), r.Host, r.URL.Path, platform.CallerKey(r))
+}
+
+// findTarget finds the queue of a call and checks the caller's key.
+func findTarget(v operatorView, host, path, key string) (target, error) {
 	if v.config == nil {
 		return target{}, errkind.New(errkind.ViewNotFresh, "no configuration is known yet")
 	}
-	route := findRoute(v.config, r.Host, r.URL.Path)
+	route := findRoute(v.config, host, path)
 	if route == nil {
-		return target{}, errkind.New(errkind.QueueUnknown, "no queue for %s%s", r.Host, r.URL.Path)
+		return target{}, errkind.New(errkind.QueueUnknown, "no queue for %s%s", host, path)
 	}
-	t := target{route: route, id: strings.TrimPrefix(r.URL.Path, route.Prefix), view: v}
+	t := target{route: route, id: strings.TrimPrefix(path, route.Prefix), view: v}
 	if route.Public {
-		t.workspace = v.keys[platform.CallerKey(r)]
+		t.workspace = v.keys[key]
 		return t, nil
 	}
-	key := platform.CallerKey(r)
 	workspace, known := v.keys[key]
 	if !known {
 		if key == "" {
@@ -169,6 +172,11 @@
 	if int64(len(body)) > limit {
 		return jobs.Submission{}, errkind.New(errkind.BodyTooLarge, "the body has more than %d bytes", limit)
 	}
+	return newSubmission(t, body)
+}
+
+// newSubmission returns the submission of a job with a body.
+func newSubmission(t target, body []byte) (jobs.Submission, error) {
 	spec, err := platform.DecodeSpec(body)
 	if err != nil {
 		return jobs.Submission{}, err
--- a/jobnode/queries.go
+++ b/jobnode/queries.go
@@ -32,6 +32,7 @@
 var operatorQueries = map[string]func(d *dispatcher, args []byte) (any, error){
 	"dispatcher":   (*dispatcher).status,
 	"evacuations":  (*dispatcher).evacuations,
+	"explain":      (*dispatcher).explain,
 	"interference": (*dispatcher).interference,
 }
 
--- a/operatorapi/jobs.go
+++ b/operatorapi/jobs.go
@@ -1,5 +1,7 @@
 package operatorapi
 
+import "example.org/comfreyrouter/dispatch"
+
 // DispatcherStatus describes the dispatcher of the jobs subsystem.
 type DispatcherStatus struct {
 	Node     string          `json:"node"`
@@ -28,3 +30,20 @@
 	BacklogS    float64 `json:"backlog_s"`
 	LateS       float64 `json:"late_backlog_s"`
 }
+
+// ExplainQuery asks what would happen to a call that submits a job. Path may end in the job's id, and Key may be empty.
+type ExplainQuery struct {
+	Host string `json:"host"`
+	Path string `json:"path"`
+	Key  string `json:"key,omitempty"`
+	Body []byte `json:"body"`
+}
+
+// ExplainAnswer says what would happen to a call. Refused is the error kind with which it would be refused before the job is looked at, if it would be.
+type ExplainAnswer struct {
+	Queue   string                `json:"queue,omitempty"`
+	Refused string                `json:"refused,omitempty"`
+	Message string                `json:"message,omitempty"`
+	Known   bool                  `json:"known"` // the job was accepted before, and is not stored again
+	Job     *dispatch.Explanation `json:"job,omitempty"`
+}
