Compare the explained class and rank, with jobs admitted before

Mutations of Explain that skipped the shares or shared the admission's maps passed the test: its states had no admitted or rejected jobs, and it compared neither class nor rank. It does both now, over 500 states.

--- a/dispatch/explain_test.go
+++ b/dispatch/explain_test.go
@@ -98,8 +98,11 @@
 		state = state.Request("z1")
 	}
 	c.SetEvacuated(state, rng.IntN(20) == 0)
+	for i := range rng.IntN(30) {
+		c.Admit(randomSubmission(rng, fmt.Sprintf("a%015x", i), now.Milliseconds()))
+	}
 	if rng.IntN(2) == 0 {
-		now += time.Duration(rng.IntN(150)) * time.Millisecond
+		now += time.Duration(rng.IntN(2300)) * time.Millisecond
 		c.Advance(now, now.Milliseconds(), true)
 	}
 	for c.Schedule(); len(c.TakeOrders()) > 0; c.Schedule() {
@@ -125,6 +128,17 @@
 	return v, starts
 }
 
+// jobsBefore counts the waiting jobs of a service that come before a job.
+func jobsBefore(c *Core, j *job) int {
+	n := 0
+	for _, w := range c.jobs {
+		if c.serviceOf(w) == c.serviceOf(j) && c.hasStartable(w) && compareCandidates(c.candidate(w), c.candidate(j)) < 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // address names a visited object. A struct and its first field have the same pointer.
 type address struct {
 	pointer uintptr
@@ -171,15 +185,22 @@
 // TestExplainSaysWhatHappens guards against an explanation that differs from what then happens to the job, and one that changes anything.
 func TestExplainSaysWhatHappens(t *testing.T) {
 	rejected, started, held, waiting := 0, 0, 0, 0
-	rules := map[string]int{}
+	rules, classes := map[string]int{}, map[string]int{}
 	for seed := range uint64(500) {
 		c, sub := randomState(seed)
 		before := dump(c)
 		e := c.Explain(sub)
-		require.Equal(t, before, dump(c), "seed %d: something has changed", seed)
+		require.True(t, before == dump(c), "seed %d: something has changed", seed)
 		v, starts := submitAndSchedule(c, sub)
 		require.Equal(t, [3]any{v.Accepted, v.Reason, v.RetryAfterMS}, [3]any{e.Accepted, e.Reason, e.RetryAfterMS}, "seed %d", seed)
 		require.False(t, e.Cut)
+		j := c.jobs[sub.ID]
+		require.Equal(t, c.beyondShare[workspacePool{sub.Service, sub.Workspace}], e.BeyondShare, "seed %d", seed)
+		if j.runCount == 0 {
+			require.Equal(t, classNames[c.candidate(j).Class], e.Class, "seed %d", seed)
+			require.Equal(t, jobsBefore(c, j), e.JobsBefore, "seed %d", seed)
+			classes[e.Class]++
+		}
 		inService := 0
 		for _, s := range c.servers {
 			if s.info.Service == sub.Service {
@@ -209,7 +230,7 @@
 			waiting++
 		}
 	}
-	t.Logf("%d rejected, %d steps started, %d held, %d behind waiting jobs, rules %v", rejected, started, held, waiting, rules)
+	t.Logf("%d rejected, %d steps started, %d held, %d behind waiting jobs, rules %v, classes of those that wait %v", rejected, started, held, waiting, rules, classes)
 	assert.Greater(t, rejected, 20)
 	assert.Greater(t, started, 100)
 	assert.Greater(t, held, 20)
