--- a/dispatch/explain_test.go
+++ b/dispatch/explain_test.go
@@ -101,13 +101,19 @@
 	for i := range rng.IntN(30) {
 		c.Admit(randomSubmission(rng, fmt.Sprintf("a%015x", i), now.Milliseconds()))
 	}
+	c.admission.rejections["expired"] = rejection{}
+	sub := randomSubmission(rng, "00000000000000ff", now.Milliseconds())
+	if rng.IntN(4) == 0 {
+		c.Admit(sub) // its caller retries
+	}
 	if rng.IntN(2) == 0 {
 		now += time.Duration(rng.IntN(2300)) * time.Millisecond
 		c.Advance(now, now.Milliseconds(), true)
 	}
 	for c.Schedule(); len(c.TakeOrders()) > 0; c.Schedule() {
 	}
-	return c, randomSubmission(rng, "00000000000000ff", now.Milliseconds())
+	sub.ReceivedMS = now.Milliseconds()
+	return c, sub
 }
 
 // submitAndSchedule submits a job and returns the verdict and the number of its tasks that start on each server, by step.
