--- a/jobnode/guards_test.go
+++ b/jobnode/guards_test.go
@@ -11,7 +11,7 @@
 
 // TestMadeUpKeysNameNoClient guards against a client that sends another key on each connection and so counts as many clients that hold little.
 func TestMadeUpKeysNameNoClient(t *testing.T) {
-	o := newOperatorFollower(nil, time.Second, zerolog.Nop())
+	o := newOperatorFollower(nil, Bounds{RevokeWithin: time.Second}, zerolog.Nop())
 	call := func(key string) *http.Request {
 		return &http.Request{Header: http.Header{"Authorization": {"Bearer " + key}}}
 	}
