--- a/review/kit3/fleet.go
+++ b/review/kit3/fleet.go
@@ -78,7 +78,9 @@
 	steps   map[string]taskStep // by job; each job has one step
 	events  []runEvent
 	waves   map[int64][]string
+	noted   map[string]bool // ends that an ack_cursor has reached before the lease lapsed, by task and run
 	version int64
+	late    func(w *worker, path string, o order) time.Duration // if set, how much later an order is carried out, without an answer; 0: at once
 }
 
 func newFleet(rec *record) (*fleet, error) {
@@ -86,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{rec: rec, dir: dir, store: newStore(), workers: map[string]*worker{}, steps: map[string]taskStep{}, waves: map[int64][]string{}}
+	f := &fleet{rec: rec, dir: dir, store: newStore(), workers: map[string]*worker{}, steps: map[string]taskStep{}, waves: map[int64][]string{}, noted: map[string]bool{}}
 	f.platform = &platform{fleet: f}
 	return f, nil
 }
@@ -311,6 +313,17 @@
 	return step, known
 }
 
+// lateBy returns how much later a worker carries a call out, without an answer; 0 for at once.
+func (f *fleet) lateBy(w *worker, path string, o order) time.Duration {
+	f.mu.Lock()
+	late := f.late
+	f.mu.Unlock()
+	if late == nil {
+		return 0
+	}
+	return late(w, path, o)
+}
+
 func (f *fleet) runStarted(w *worker, r *workerRun) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -325,6 +338,32 @@
 	f.rec.note("worker %s on %s: %s run %d ends: %s", w.id, w.machine, r.task, r.attempt, how)
 }
 
+// endNoted records that a worker forgets an end. Its lock must be held.
+func (f *fleet) endNoted(w *worker, end []any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	task, attempt := end[1].(string), end[2].(int64)
+	f.rec.note("worker %s forgets end %v of %s run %d, with %d ms left of its lease", w.id, end[0], task, attempt, w.leaseEnd-w.clock())
+	if w.clock() < w.leaseEnd {
+		f.noted[noteKey(task, attempt)] = true
+	}
+}
+
+func noteKey(task string, attempt int64) string { return fmt.Sprintf("%s/%d", task, attempt) }
+
+// notedEnds returns how many ends of a job were taken note of.
+func (f *fleet) notedEnds(job string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for key := range f.noted {
+		if jobOf(key) == job {
+			n++
+		}
+	}
+	return n
+}
+
 // current returns the last event of a task, or false if there is none.
 func (f *fleet) current(task string) (runEvent, bool) {
 	f.mu.Lock()
--- a/review/kit3/machines.go
+++ b/review/kit3/machines.go
@@ -9,6 +9,8 @@
 	"time"
 )
 
+const anyAddress = "127.0.0.1:0"
+
 const upkeepTime = 2 * time.Second // maintenance_s
 
 // machine is a machine of the fleet, as the platform knows it.
@@ -24,10 +26,11 @@
 
 // platform plays the list of machines and the orders for them.
 type platform struct {
-	fleet *fleet
-	mu    sync.Mutex
-	all   []*machine
-	reset bool // calls get no answer and do nothing: the connection is reset
+	fleet       *fleet
+	mu          sync.Mutex
+	all         []*machine
+	sameAddress bool // whether a worker that has crashed is back at its address
+	reset       bool // calls get no answer and do nothing: the connection is reset
 	// unanswered, if set, says whether an order gets no answer. The platform then hands it over, to be carried out later.
 	unanswered func(m *machine, wave, fence int64) bool
 	// begun is called when an upkeep begins, with the number of machines that are down for theirs already.
@@ -37,7 +40,7 @@
 // add adds a machine with a worker.
 func (p *platform) add(id, service string, labels []string) (*machine, error) {
 	m := &machine{id: id, service: service, labels: labels, phase: "up", waves: map[int64]bool{}}
-	w, err := p.fleet.startWorker("w-"+id+"-0", id, service, labels)
+	w, err := p.fleet.startWorker("w-"+id+"-0", id, service, labels, anyAddress)
 	m.worker = w
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -74,10 +77,14 @@
 	w := m.worker
 	p.mu.Unlock()
 	w.crash()
+	address := anyAddress
+	if p.sameAddress {
+		address = w.address
+	}
 	time.AfterFunc(back, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		next, err := p.fleet.startWorker(w.id, m.id, m.service, m.labels)
+		next, err := p.fleet.startWorker(w.id, m.id, m.service, m.labels, address)
 		if err != nil {
 			p.fleet.rec.note("%v", err)
 			return
@@ -106,7 +113,7 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		m.lives++
-		w, err := p.fleet.startWorker(fmt.Sprintf("w-%s-%d", m.id, m.lives), m.id, m.service, m.labels)
+		w, err := p.fleet.startWorker(fmt.Sprintf("w-%s-%d", m.id, m.lives), m.id, m.service, m.labels, anyAddress)
 		if err != nil {
 			p.fleet.rec.note("%v", err)
 			return
--- a/review/kit3/main.go
+++ b/review/kit3/main.go
@@ -19,11 +19,11 @@
 
 // cases holds the cases by their names. Each returns how the rule was broken, or "" if it held.
 var cases = map[string]func(f *fleet, trouble bool) (string, error){
-	"withdrawn-key":  withdrawnKey,
-	"lost-job":       lostJob,
-	"lasting-task":   lastingTask,
-	"repeated-order": repeatedOrder,
-	"late-order":     lateOrder,
+	"late-acknowledgement": lateAcknowledgement,
+	"withdrawn-key":        withdrawnKey,
+	"late-start":           lateStart,
+	"repeated-order":       repeatedOrder,
+	"late-order":           lateOrder,
 }
 
 func main() {
--- a/review/kit3/worker.go
+++ b/review/kit3/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -26,6 +27,7 @@
 	startedAt time.Time
 	length    time.Duration // 0 if the task lasts
 	startup   time.Duration // of a task that lasts
+	stoppedAt int           // percent
 }
 
 // percent returns how far the run is; a task that lasts is at work at 100.
@@ -59,9 +61,9 @@
 	ended    chan struct{} // closed and replaced at each end
 }
 
-// startWorker starts a worker on a machine and registers it.
-func (f *fleet) startWorker(id, machine, service string, labels []string) (*worker, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// startWorker starts a worker on a machine, at an address, and registers it.
+func (f *fleet) startWorker(id, machine, service string, labels []string, address string) (*worker, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -158,6 +160,13 @@
 	WaitMS   int64  `json:"wait_ms"`
 }
 
+func (o order) String() string {
+	if o.Task == "" {
+		return fmt.Sprintf("with ack_cursor %d", o.Ack)
+	}
+	return fmt.Sprintf("%s run %d", o.Task, o.Attempt)
+}
+
 func (w *worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	if want := r.Header.Get("Comfreyrouter-Expect-Instance"); want != "" && want != w.id {
 		out.WriteHeader(http.StatusMisdirectedRequest)
@@ -168,6 +177,30 @@
 		out.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if late := w.fleet.lateBy(w, r.URL.Path, o); late > 0 {
+		time.AfterFunc(late, func() {
+			defer func() { _ = recover() }() // the worker has ended
+			w.fleet.mu.Lock()
+			now := w.fleet.workers[w.id] // if it has started again under its id, it takes the call
+			w.fleet.mu.Unlock()
+			w.fleet.rec.note("worker %s carries out %s %s, %v late", w.id, r.URL.Path, o, late.Round(time.Millisecond))
+			now.carryOut(unread{}, r, o)
+		})
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	w.carryOut(out, r, o)
+}
+
+// unread is an answer that nobody gets.
+type unread struct{}
+
+func (unread) Header() http.Header         { return http.Header{} }
+func (unread) Write(b []byte) (int, error) { return len(b), nil }
+func (unread) WriteHeader(int)             {}
+
+// carryOut carries out a call.
+func (w *worker) carryOut(out http.ResponseWriter, r *http.Request, o order) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.dead {
@@ -184,6 +217,7 @@
 	case "/run-stop":
 		w.barred[o.Task] = max(w.barred[o.Task], o.Attempt)
 		if run := w.runs[o.Task]; run != nil && run.attempt <= o.Attempt {
+			run.stoppedAt = run.percent(time.Now())
 			w.end(run, "stopped")
 		}
 		w.reply(out, http.StatusOK, map[string]any{})
@@ -249,6 +283,11 @@
 	if o.Deadline > 0 {
 		w.extend(o)
 	}
+	for _, e := range w.ends {
+		if e[0].(int64) <= o.Ack {
+			w.fleet.endNoted(w, e)
+		}
+	}
 	w.ends = slices.DeleteFunc(w.ends, func(e []any) bool { return e[0].(int64) <= o.Ack })
 	if len(w.ends) == 0 && o.WaitMS > 0 {
 		ended := w.ended
