Show that a lasting task waits for a worker that was lost after a restart

Its task that lasts isn't started elsewhere for 17 s, as the leases that late calls to the former life may extend are waited for.

--- a/review/kit3/cases.go
+++ b/review/kit3/cases.go
@@ -270,6 +270,72 @@
 	return broken, nil
 }
 
+// lostAgain crashes a worker, which is back under its id, and lets it be lost for good some seconds later.
+func lostAgain(f *fleet, trouble bool) (string, error) {
+	const (
+		filler, job, task = "00000000000000d1", "00000000000000d2", "00000000000000d2.0.0.0"
+		down              = time.Second             // srv_crash, for_s
+		lost              = 4500 * time.Millisecond // how long the loss for good counts as a disruption: srv_crash, for_s, and three heartbeats
+		calm              = 7 * time.Second         // 3 s, and the 4 s before them
+	)
+	f.configure([]string{clientKey}, 0)
+	if err := f.addMachines(9); err != nil {
+		return "", err
+	}
+	m, err := f.platform.add("m-b", service, []string{"b", "r1-9"})
+	if err != nil {
+		return "", err
+	}
+	if _, err := f.platform.add("m-c", service, []string{"b", "c", "r1-9"}); err != nil {
+		return "", err
+	}
+	f.platform.sameAddress = true
+	if err := f.startNodes(); err != nil {
+		return "", err
+	}
+	// The only other worker with the label is full until the task has begun.
+	if err := f.submit(filler, clientKey, taskStep{Count: 1, CPU: 62000, MemMB: 1000, EstimateMS: 3500, Selector: "c", length: 3500 * time.Millisecond}); err != nil {
+		return "", err
+	}
+	if _, err := f.awaitRunning(filler+".0.0.0", 10*time.Second); err != nil {
+		return "", err
+	}
+	if trouble {
+		f.platform.crash(m, down)
+		time.Sleep(down + 500*time.Millisecond)
+	}
+	if err := f.submit(job, clientKey, taskStep{Count: 1, CPU: 5400, MemMB: 17000, LongRunning: true, Selector: "b", startup: 500 * time.Millisecond}); err != nil {
+		return "", err
+	}
+	e, err := f.awaitRunning(task, 10*time.Second)
+	if err != nil {
+		return "", err
+	}
+	if f.platform.machineOf(e.worker) != m {
+		return "", errors.New("the task runs on the other worker")
+	}
+	time.Sleep(4 * time.Second)
+	if trouble {
+		f.platform.loseForGood(m)
+	}
+	time.Sleep(lost + calm + 200*time.Millisecond)
+	broken := f.idleTask(task, lost+calm)
+	time.Sleep(12 * time.Second)
+	return broken, nil
+}
+
+// idleTask returns how the rule is broken if a task that lasts doesn't run, and hasn't for some time.
+func (f *fleet) idleTask(task string, most time.Duration) string {
+	e, _ := f.current(task)
+	idle := f.rec.now() - e.at
+	if e.how == "" || idle < most {
+		return ""
+	}
+	status, phase := f.phase(f.nodes[0], jobOf(task), clientKey)
+	f.rec.note("client: GET %s: %d %s", jobOf(task), status, phase)
+	return fmt.Sprintf("LOST: %s has nothing running for %v, beside an empty worker on which it may run", task, idle.Round(time.Millisecond))
+}
+
 // lateStart crashes the workers of both tasks of a step, and has some orders to workers carried out late while the tasks are started again.
 func lateStart(f *fleet, trouble bool) (string, error) {
 	const (
--- a/review/kit3/machines.go
+++ b/review/kit3/machines.go
@@ -191,3 +191,11 @@
 	}
 	answer(w, http.StatusOK, map[string]any{"machines": rows})
 }
+
+// loseForGood ends the worker of a machine, which is down from then on.
+func (p *platform) loseForGood(m *machine) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m.worker.crash()
+	m.phase = "down"
+}
--- a/review/kit3/main.go
+++ b/review/kit3/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (string, error){
 	"late-acknowledgement": lateAcknowledgement,
 	"withdrawn-key":        withdrawnKey,
+	"lost-again":           lostAgain,
 	"late-start":           lateStart,
 	"repeated-order":       repeatedOrder,
 	"late-order":           lateOrder,
