--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -6,4 +6,4 @@
   echo "build the programs first: the build line of deploy/system.toml, then review/build-3.sh"
   exit 2
 fi
-exec target/review3 late-order review/15
+exec target/review3 repeated-order review/15
