--- a/review/kit3/cases.go
+++ b/review/kit3/cases.go
@@ -27,6 +27,7 @@
 		stormGap     = 330 * time.Millisecond // config_storm, gap_s
 		revokeWithin = 5 * time.Second        // revoke_ms
 	)
+	f.link = 10e6 / 8 // link_mbps of most machines of the site
 	f.configure([]string{clientKey}, 0)
 	if err := f.addMachines(9); err != nil {
 		return "", err
@@ -62,13 +63,13 @@
 	broken := ""
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	for c := range 20 {
+	for c := range 4 {
 		clients.Go(func() {
 			for i := 0; ; i++ {
 				select {
 				case <-stop:
 					return
-				case <-time.After(50 * time.Millisecond):
+				case <-time.After(500 * time.Millisecond):
 				}
 				id, method := "00000000000000a0", http.MethodGet
 				var body any
@@ -275,11 +276,12 @@
 	const (
 		filler, job, task = "00000000000000d1", "00000000000000d2", "00000000000000d2.0.0.0"
 		down              = time.Second             // srv_crash, for_s
-		lost              = 4500 * time.Millisecond // how long the loss for good counts as a disruption: srv_crash, for_s, and three heartbeats
+		lost              = 5200 * time.Millisecond // how long the loss for good counts as a disruption: srv_crash gone, for_s
+		near              = 3 * time.Second         // contact_ms
 		calm              = 7 * time.Second         // 3 s, and the 4 s before them
 	)
 	f.configure([]string{clientKey}, 0)
-	if err := f.addMachines(9); err != nil {
+	if err := f.addMachines(12); err != nil {
 		return "", err
 	}
 	m, err := f.platform.add("m-b", service, []string{"b", "r1-9"})
@@ -314,13 +316,13 @@
 	if f.platform.machineOf(e.worker) != m {
 		return "", errors.New("the task runs on the other worker")
 	}
-	time.Sleep(4 * time.Second)
+	time.Sleep(2500 * time.Millisecond)
 	if trouble {
 		f.platform.loseForGood(m)
 	}
-	time.Sleep(lost + calm + 200*time.Millisecond)
-	broken := f.idleTask(task, lost+calm)
-	time.Sleep(12 * time.Second)
+	time.Sleep(lost + near + calm + 200*time.Millisecond)
+	broken := f.idleTask(task, lost+near+calm)
+	time.Sleep(10 * time.Second)
 	return broken, nil
 }
 
@@ -536,7 +538,7 @@
 		}
 		unanswered++
 		f.rec.note("worker %s gives no answer to /hold %s", w.id, o)
-		return latest
+		return 2 * soonest
 	}
 	f.mu.Unlock()
 	if trouble {
--- a/review/kit3/fleet.go
+++ b/review/kit3/fleet.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -69,9 +68,10 @@
 	dir      string
 	store    *store
 	platform *platform
+	link     float64 // of each node to the store, in bytes per second; 0: as fast as it can
 	nodes    []*node
 	servers  []*http.Server
-	taken    []string // addresses of the nodes
+	taken    int // ports of the block that were tried
 
 	mu      sync.Mutex
 	workers map[string]*worker
@@ -126,22 +126,18 @@
 	return l.Addr().String(), nil
 }
 
-// The ports of the nodes are below those that the system gives to outgoing connections, so that none of these takes one before its node listens.
-const firstPort, portCount = 12000, 18000
+// The ports of the nodes and of the workers are below those that the system gives to outgoing connections, and each process of this program has a block of
+// them, so that nothing takes one between its choice and its use.
+const firstPort, blockSize, blocks = 12000, 100, 180
 
-// freeAddress returns an address that was free a moment ago and that wasn't returned before.
+// freeAddress returns an address that is free and that wasn't returned before.
 func (f *fleet) freeAddress() (string, error) {
-	for range 1000 {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
-		if slices.Contains(f.taken, address) {
-			continue
+	for f.taken < blockSize {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+os.Getpid()%blocks*blockSize+f.taken)
+		f.taken++
+		if l, err := net.Listen("tcp", address); err == nil {
+			return address, l.Close()
 		}
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		f.taken = append(f.taken, address)
-		return address, l.Close()
 	}
 	return "", errors.New("no port is free")
 }
@@ -153,7 +149,7 @@
 		return err
 	}
 	for i := range nodeCount {
-		n := &node{name: fmt.Sprintf("edge-z%d-1", i+1), door: &door{store: f.store}}
+		n := &node{name: fmt.Sprintf("edge-z%d-1", i+1), door: &door{store: f.store, link: f.link}}
 		storeAddress, err := f.serve(n.door)
 		if err != nil {
 			return err
@@ -203,10 +199,10 @@
 	n.cmd = exec.Command(nodeProgram, "node")
 	n.cmd.Env = append(os.Environ(), "COMFREYROUTER_CONFIG="+filepath.Join(f.dir, n.name+".yaml"))
 	n.cmd.Stdout, n.cmd.Stderr = log, log
+	n.exited = make(chan struct{})
 	if err := n.cmd.Start(); err != nil {
 		return err
 	}
-	n.exited = make(chan struct{})
 	go func() {
 		_ = n.cmd.Wait()
 		_ = log.Close()
--- a/review/kit3/machines.go
+++ b/review/kit3/machines.go
@@ -40,7 +40,11 @@
 // add adds a machine with a worker.
 func (p *platform) add(id, service string, labels []string) (*machine, error) {
 	m := &machine{id: id, service: service, labels: labels, phase: "up", waves: map[int64]bool{}}
-	w, err := p.fleet.startWorker("w-"+id+"-0", id, service, labels, anyAddress)
+	address, err := p.fleet.freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	w, err := p.fleet.startWorker("w-"+id+"-0", id, service, labels, address)
 	m.worker = w
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -198,4 +202,5 @@
 	defer p.mu.Unlock()
 	m.worker.crash()
 	m.phase = "down"
+	p.fleet.rec.note("machine %s is down for good", m.id)
 }
--- a/review/kit3/main.go
+++ b/review/kit3/main.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"path/filepath"
 	"syscall"
+	"time"
 )
 
 // Exit codes of a case.
@@ -17,6 +18,9 @@
 	exitNotRun = 2
 )
 
+// longest is how long a case may take.
+const longest = 110 * time.Second
+
 // cases holds the cases by their names. Each returns how the rule was broken, or "" if it held.
 var cases = map[string]func(f *fleet, trouble bool) (string, error){
 	"late-acknowledgement": lateAcknowledgement,
@@ -60,6 +64,11 @@
 		f.close()
 		os.Exit(exitNotRun)
 	}()
+	time.AfterFunc(longest, func() {
+		rec.note("the case couldn't run: it has taken %v", longest)
+		f.close()
+		os.Exit(exitNotRun)
+	})
 	broken, err := cases[name](f, trouble)
 	switch {
 	case err != nil:
--- a/review/kit3/store.go
+++ b/review/kit3/store.go
@@ -100,6 +100,7 @@
 // door is the address at which one node reaches the store.
 type door struct {
 	store *store
+	link  float64 // bytes per second of an answer; 0: as fast as it can
 	mu    sync.Mutex
 	shut  bool
 }
@@ -246,11 +247,28 @@
 		s.reads.Lock()
 		time.Sleep(time.Duration(float64(len(body)) / readRate * float64(time.Second)))
 		s.reads.Unlock()
-		_, _ = w.Write(body) // fails only if the node has disconnected
+		d.send(w, body)
 		return
 	}
 }
 
+// send writes an answer at the rate of the link.
+func (d *door) send(w http.ResponseWriter, body []byte) {
+	const step = 10 * time.Millisecond
+	for begun, sent := time.Now(), 0; d.link > 0 && sent < len(body); {
+		time.Sleep(step)
+		due := min(len(body), int(d.link*time.Since(begun).Seconds()))
+		if _, err := w.Write(body[sent:due]); err != nil {
+			return // the node has disconnected
+		}
+		w.(http.Flusher).Flush()
+		sent = due
+	}
+	if d.link == 0 {
+		_, _ = w.Write(body) // fails only if the node has disconnected
+	}
+}
+
 // page returns the end, the first retained offset and the records from an offset on, whole ones of at most a number of bytes in all.
 func (t *topic) page(from int64, most int) []byte {
 	out := binary.BigEndian.AppendUint64(nil, uint64(len(t.records)))
--- a/review/kit3/worker.go
+++ b/review/kit3/worker.go
@@ -299,6 +299,7 @@
 		}
 		w.mu.Lock()
 		if w.dead {
+			w.fleet.rec.note("worker %s gives no answer to a waiting /hold, since it has ended", w.id)
 			panic(http.ErrAbortHandler)
 		}
 	}
