Refuse calls for a former incarnation by a higher fencing token

Cause: both incarnations share their id, address and token, so the present one can't refuse a call for the former one.

When a server restarts, its dispatcher claims the next epoch in the ledger, in the append that names the new incarnation there. Calls to that incarnation carry it as their token, and it gets no work, lease or acknowledgement before it has answered one. Other servers keep their token, so nothing underway to them is refused.

The model leaves out fewer late calls than before.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -15,7 +15,7 @@
 
 // Params holds the limits that the fleet's operators and the platform set.
 type Params struct {
-	Epoch int64         // epoch of this dispatcher, which is also the fencing token of its orders
+	Epoch int64         // first epoch of this dispatcher. Attempts are numbered by it, and fencing tokens begin with it
 	Lease time.Duration // duration of a run's lease, which each report renews
 	// MaxLease is the longest lease that servers grant.
 	MaxLease time.Duration
@@ -54,12 +54,14 @@
 type StopOrder struct {
 	Task    string
 	Attempt int64
+	Fence   int64
 }
 
 // PaceOrder sets the percentage of its full speed at which a run works.
 type PaceOrder struct {
 	Task    string
 	Attempt int64
+	Fence   int64
 	Percent int
 }
 
@@ -84,6 +86,7 @@
 	confirmedAt     time.Duration // when the start or the stop was confirmed; 0 if neither was
 	answered        bool          // the start has an answer or has timed out, or was a predecessor's
 	begun           bool          // the server has confirmed the start or reported the run
+	former          bool          // the start was sent to a former incarnation of the server
 	stopRetryAt     time.Duration // when a stop may be sent again
 	stopSent        bool
 	stopConfirmed   bool // the server has confirmed the stop
@@ -182,8 +185,10 @@
 	sentAt              time.Duration // when the renewal was sent that the last report answers
 	recvAt              time.Duration // when the last report was received; 0 if there is none
 	leasesExpireAt      time.Duration // by then all leases on it have expired, if no further lease is granted and no call for a former incarnation arrives
-	renewalUnderway     bool          // a renewal that grants a lease has no answer yet
-	unansweredAt        time.Duration // by then the last call of this dispatcher was sent that granted a lease and got no answer; 0 if there is none
+	token               int64         // fencing token of the calls to its present incarnation
+	minToken            int64         // lowest token by which that incarnation refuses the calls for former ones
+	fenced              bool          // that incarnation has seen such a token
+	openGrants          int           // number of calls that grant a lease to that incarnation and have no answer
 	formerLeasesStored  bool          // its record says that calls for former incarnations may have extended leases, or is about to
 	formerLeasesEndAt   time.Duration // by then all leases have expired that calls for former incarnations may have extended
 	runs                map[string]*run
@@ -231,9 +236,9 @@
 	unstoredJobs        map[string]*job // jobs whose progress has to be stored
 	unstoredCrashes     []*task
 	evacuation          evacuations
-	silent              map[string]silentServer       // by server
-	unansweredStarts    map[string][]*unansweredStart // by server
+	silent              map[string]silentServer // by server
 	removedServers      map[string]removedServer
+	token               int64 // the newest epoch that this dispatcher has claimed
 	orders              []Order
 	records             []ledger.Record
 	endedJobs           map[string]bool         // jobs whose final state has been queued for storing
@@ -295,7 +300,7 @@
 func New(p Params, l *ledger.Ledger, config *jobs.Configuration, now time.Duration, wallMS int64) *Core {
 	c := &Core{
 		params: p, servers: map[string]*server{}, byMachine: map[string][]*server{}, jobs: map[string]*job{}, usage: map[string]jobs.Resources{},
-		awaited: map[string]awaitedServers{}, unreportedUsage: map[string]jobs.Resources{}, unansweredStarts: map[string][]*unansweredStart{},
+		awaited: map[string]awaitedServers{}, unreportedUsage: map[string]jobs.Resources{}, token: p.Epoch,
 		unstoredJobs: map[string]*job{}, silent: map[string]silentServer{}, removedServers: map[string]removedServer{}, endedJobs: map[string]bool{},
 		runtimes: map[string]*runtimeMean{}, eventCounts: map[string]int{},
 		arrivals: map[string]*arrivals{}, poolUsage: map[workspacePool]int64{}, beyondShare: map[workspacePool]bool{}, shares: map[string]*shareBucket{}, markedWaiting: map[string]int{},
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -260,6 +260,7 @@
 // Batch is a set of records to append to the ledger. Once they are stored, BatchStored must be called with it.
 type Batch struct {
 	Records    []ledger.Record
+	Epoch      int64                 // epoch to claim with these records; 0 if the present one suffices
 	ends       map[incarnation]int64 // newest end that the records take into account, by server
 	servers    []incarnation         // servers whose record is in the batch
 	startMarks []string              // jobs whose tasks may start once the batch is stored
@@ -267,7 +268,7 @@
 }
 
 // Empty reports whether there is nothing to store and nothing to acknowledge.
-func (b Batch) Empty() bool { return len(b.Records) == 0 && len(b.ends) == 0 }
+func (b Batch) Empty() bool { return len(b.Records) == 0 && len(b.ends) == 0 && b.Epoch == 0 }
 
 // EndedOn returns the servers whose reported ends are acknowledged once the batch is stored.
 func (b Batch) EndedOn() iter.Seq[string] {
@@ -289,7 +290,7 @@
 // TakeBatch returns the records decided since the last call.
 func (c *Core) TakeBatch() Batch {
 	c.forgetRemoved()
-	b := Batch{Records: c.records, ends: map[incarnation]int64{}}
+	b := Batch{Records: c.records, Epoch: c.epochToClaim(), ends: map[incarnation]int64{}}
 	c.records = nil
 	b.crashed, c.unstoredCrashes = c.unstoredCrashes, nil
 	for id, j := range c.unstoredJobs {
@@ -327,6 +328,7 @@
 // BatchStored records that a batch is stored: its ends can be acknowledged, its servers may get work, and its jobs may start. It reports whether
 // something may start that could not start before.
 func (c *Core) BatchStored(b Batch) bool {
+	c.epochClaimed(b.Epoch)
 	for _, id := range b.startMarks {
 		if j := c.jobs[id]; j != nil {
 			j.startMark = markStored
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -37,7 +37,7 @@
 	for _, r := range s.runs {
 		if r.task.step.spec.Fills && r.state == runActive && r.pace != s.fillerPace {
 			r.pace = s.fillerPace
-			c.orders = append(c.orders, Order{Server: s.target(), Pace: &PaceOrder{r.task.id.String(), r.attempt, r.pace}})
+			c.orders = append(c.orders, Order{Server: s.target(), Pace: &PaceOrder{r.task.id.String(), r.attempt, s.token, r.pace}})
 		}
 	}
 }
--- a/dispatch/restarts.go
+++ b/dispatch/restarts.go
@@ -1,48 +1,38 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"example.org/comfreyrouter/jobs"
 	"example.org/comfreyrouter/ledger"
 )
 
-// A call without a response may be carried out seconds later. A server that has restarted under its id then carries it out as if it had been meant for
-// the new incarnation: a start begins a run there, and its lease, which was computed for the former clock, extends the leases of all runs.
+// A call without a response may be carried out seconds later. A server that has restarted under its id carries it out as if it had been meant for the new
+// incarnation: a start begins a run there, its lease, which was computed for the former clock, extends the leases of all runs, and an acknowledgement makes
+// it forget ends that nobody has read. Servers refuse every token below the highest one that they have seen. The calls to a new incarnation therefore carry
+// a higher token than those to former ones, and it gets no work and no acknowledgement before it has seen that token.
 
 // maxCallDelay is the longest time after which a server carries out a call that got no response: "seconds later" by the users' pages, 2 to 12 s in their
 // list of faults.
 const maxCallDelay = 12 * time.Second
 
-// unansweredStart is a start that got no response, and that an incarnation other than the one for which it was meant may still carry out.
-type unansweredStart struct {
-	task         string
-	attempt      int64
-	bornMS       int64         // incarnation of the server for which it was meant
-	unansweredAt time.Duration // when its timeout was over, which is after its arrival
-	stopRetryAt  time.Duration // when a stop may be sent again
-	stoppedIn    int64         // incarnation that has confirmed a stop, so that it refuses the start
-}
-
 // removedServer is a server that was removed from the core and may come back under its id.
 type removedServer struct {
 	bornMS            int64
 	knownAt           time.Duration
 	at                time.Duration
-	unansweredAt      time.Duration // like those of server
+	token, minToken   int64 // like those of server
 	formerLeasesEndAt time.Duration
 	inLedger          bool // the ledger has a record of it
 }
 
 // serverRestarted handles a new incarnation of a server with the same id. Everything that ran on the previous one is lost. A start that got no response
-// may yet run on the new one, so its task waits for the confirmation of a stop. An awaited server stays awaited: the restart may have been long ago, and
+// may yet run on the new one, so its task waits until that has seen a higher token. An awaited server stays awaited: the restart may have been long ago, and
 // a predecessor may have started tasks on the new incarnation since.
 func (c *Core) serverRestarted(s *server, bornMS int64) {
 	c.reportProblem(s, "server_reborn")
 	c.serverCrashed(s)
 	awaited := s.awaited()
-	c.collectUnanswered(s)
 	c.dropBegunRuns(s)
 	s.reconciled = !awaited
 	if !awaited {
@@ -53,16 +43,18 @@
 		c.records = append(c.records, c.serverRecord(s)) // a successor may not reach the new incarnation
 	}
 	s.succeed(bornMS, c.now)
-	s.lastEnd, s.storedEnd, s.clockMS, s.recvAt = 0, 0, 0, 0
+	s.lastEnd, s.storedEnd, s.clockMS, s.recvAt, s.openGrants = 0, 0, 0, 0, 0
 	s.recorded, s.recording = false, false
 	s.consecutiveFailures, s.backoff, s.backoffUntil = 0, 0, 0
 	s.restarts++
+	c.requireToken(s, s.token+1)
 	for _, r := range s.runs {
-		r.stopSent = false
-		c.stop(r)
+		r.former, r.stopSent, r.stopConfirmed = true, false, false
+		if r.state != runStopping {
+			r.state = runUnknown
+		}
 		c.stopGang(r.task)
 	}
-	c.stopFormerStarts(s)
 }
 
 // dropBegunRuns removes the runs of a server that have certainly begun on an incarnation which has ended.
@@ -75,56 +67,80 @@
 	}
 }
 
-// collectUnanswered counts the calls of this dispatcher that are underway to a server, and grant leases, among those without an answer. They may have been
-// sent seconds after they were decided: directly, after a relay hadn't answered, or by a process that was paused.
-func (c *Core) collectUnanswered(s *server) {
-	if s.renewalUnderway {
-		s.renewalUnderway, s.unansweredAt = false, c.now
+// requireToken makes the calls to the present incarnation of a server carry at least the given token.
+func (c *Core) requireToken(s *server, token int64) {
+	s.minToken, s.fenced = max(s.minToken, token), false
+	c.raiseToken(s)
+}
+
+// raiseToken makes the calls to a server carry the newest token, if they need a higher one than theirs and the newest one suffices.
+func (c *Core) raiseToken(s *server) {
+	if s.token < s.minToken && s.minToken <= c.token {
+		s.token = c.token
 	}
-	for _, r := range s.runs {
-		if !r.answered {
-			s.unansweredAt = c.now
+}
+
+// Epoch returns the newest epoch that this dispatcher has claimed.
+func (c *Core) Epoch() int64 { return c.token }
+
+// epochToClaim returns the epoch that this dispatcher has to claim because calls to a server need a higher token, or 0.
+func (c *Core) epochToClaim() int64 {
+	for _, s := range c.servers {
+		if s.minToken > c.token {
+			return c.token + 1
 		}
 	}
+	return 0
 }
 
-// RenewalAnswered records that a renewal was answered or not sent, so that it isn't carried out later.
-func (c *Core) RenewalAnswered(r Renewal) {
-	if s := c.servers[r.Server.ID]; s != nil && r.LeaseUntil > 0 {
-		s.renewalUnderway = false
+// epochClaimed records that this dispatcher has claimed a higher epoch.
+func (c *Core) epochClaimed(epoch int64) {
+	c.token = max(c.token, epoch)
+	for _, s := range c.servers {
+		c.raiseToken(s)
 	}
 }
 
-// RenewalRepeated records that a renewal of an incarnation of a server was sent again because it got no answer.
-func (c *Core) RenewalRepeated(r Renewal) {
-	if r.LeaseUntil > 0 {
-		c.grantUnanswered(r.Server)
+// TokenRefused handles the refusal of a call because its server, or another one that the same relay calls, has seen a higher token. It reports whether that
+// may be a newer token of this dispatcher; the next calls to the server carry that one.
+func (c *Core) TokenRefused(server string, token int64) bool {
+	if token >= c.token {
+		return false
+	}
+	if s := c.servers[server]; s != nil {
+		s.token = c.token
 	}
+	return true
 }
 
-// grantUnanswered records that a call which grants a lease to an incarnation of a server got no answer.
-func (c *Core) grantUnanswered(asked jobs.Server) {
-	if removed, known := c.removedServers[asked.ID]; known {
-		removed.unansweredAt = c.now
-		c.removedServers[asked.ID] = removed
-	}
-	s := c.servers[asked.ID]
-	if s == nil {
-		return
+// serverFenced records that the present incarnation of a server refuses the late calls of predecessors and those for former incarnations from now on. The
+// leases that such calls have extended before last.
+func (c *Core) serverFenced(s *server) {
+	s.fenced = true
+	s.formerLeasesEndAt = min(s.formerLeasesEndAt, c.now+maxElapsed(c.params.MaxLease)+leaseMargin)
+}
+
+// RenewalAnswered records that a renewal was answered or not sent, so that it isn't carried out later.
+func (c *Core) RenewalAnswered(r Renewal) {
+	if r.LeaseUntil > 0 {
+		c.grantAnswered(r.Server)
 	}
-	s.unansweredAt = c.now
-	if end := c.now + c.formerLeaseTime(); s.bornMS != asked.BornMS && s.formerLeasesEndAt < end {
-		s.formerLeasesEndAt = end
-		if s.inLedger {
-			c.records = append(c.records, c.serverRecord(s))
-		}
+}
+
+// grantAnswered records that a call which grants a lease to an incarnation of a server was answered or not sent.
+func (c *Core) grantAnswered(asked jobs.Server) {
+	if s := c.servers[asked.ID]; s != nil && s.bornMS == asked.BornMS && s.openGrants > 0 {
+		s.openGrants--
 	}
 }
 
-// awaitLateCalls waits for the leases that the calls for former incarnations of a server may extend: those of this dispatcher that got no answer, and
-// those of its predecessors, of whose answers it knows nothing. A call that was answered isn't carried out again.
+// awaitLateCalls waits for the leases that calls for former incarnations of a server may extend: those of this dispatcher without an answer, which have
+// reached the server by now if they ever do, and those of its predecessors, of whose answers it knows nothing.
 func (c *Core) awaitLateCalls(s *server) {
-	at := s.unansweredAt
+	var at time.Duration
+	if s.openGrants > 0 {
+		at = c.now
+	}
 	if s.inherited {
 		at = max(at, min(c.now, c.params.PredecessorsUntil))
 	}
@@ -133,16 +149,6 @@
 	}
 }
 
-// fencePredecessors records that an incarnation of a server has seen the fencing token of this dispatcher, so that it refuses the late calls of
-// predecessors from now on.
-func (c *Core) fencePredecessors(s *server) {
-	end := min(s.formerLeasesEndAt, c.now+maxElapsed(c.params.MaxLease)+leaseMargin)
-	if s.unansweredAt > 0 {
-		end = max(end, min(s.formerLeasesEndAt, s.unansweredAt+c.formerLeaseTime()))
-	}
-	s.formerLeasesEndAt = end
-}
-
 // formerLeaseTime is how long a lease that is granted to a server can extend leases of later incarnations.
 func (c *Core) formerLeaseTime() time.Duration {
 	return maxCallDelay + maxElapsed(c.params.MaxLease) + leaseMargin
@@ -184,7 +190,6 @@
 			continue
 		}
 		delete(c.removedServers, id)
-		delete(c.unansweredStarts, id)
 		if removed.inLedger {
 			c.records = append(c.records, ledger.ServerRemovedRecord(id))
 		}
@@ -199,60 +204,24 @@
 
 // rememberRemoved remembers a server that is removed, and reports whether successors have to know of it: calls may extend the leases of its next incarnation.
 func (c *Core) rememberRemoved(s *server) bool {
-	c.collectUnanswered(s)
 	c.awaitLateCalls(s)
 	stored := s.formerLeasesEndAt > c.now
-	c.removedServers[s.info.ID] = removedServer{s.bornMS, s.knownAt, c.now, s.unansweredAt, s.formerLeasesEndAt, stored}
+	c.removedServers[s.info.ID] = removedServer{s.bornMS, s.knownAt, c.now, s.token, s.minToken, s.formerLeasesEndAt, stored}
 	return stored
 }
 
-// awaitFormerLeases waits for the leases of a server that was removed and comes back as another incarnation, as after a restart.
-func (c *Core) awaitFormerLeases(s *server) {
-	if removed, known := c.removedServers[s.info.ID]; known {
-		s.unansweredAt, s.inLedger = removed.unansweredAt, removed.inLedger
-		if removed.bornMS != s.bornMS {
-			s.formerLeasesEndAt = removed.formerLeasesEndAt
-			c.awaitLateCalls(s)
-		} else {
-			s.knownAt = removed.knownAt
-		}
+// recallRemoved takes over what is known of a server that was removed and comes back. If it comes back as another incarnation, it has restarted.
+func (c *Core) recallRemoved(s *server) {
+	removed, known := c.removedServers[s.info.ID]
+	if !known {
+		return
 	}
 	delete(c.removedServers, s.info.ID)
-}
-
-// addUnansweredStart records a start that got no response.
-func (c *Core) addUnansweredStart(server jobs.Server, task string, attempt int64) {
-	c.unansweredStarts[server.ID] = append(c.currentUnansweredStarts(server.ID), &unansweredStart{task: task, attempt: attempt, bornMS: server.BornMS, unansweredAt: c.now})
-}
-
-// currentUnansweredStarts returns the starts without a response that a server may still carry out.
-func (c *Core) currentUnansweredStarts(server string) []*unansweredStart {
-	return slices.DeleteFunc(c.unansweredStarts[server], func(u *unansweredStart) bool { return c.now-u.unansweredAt > maxCallDelay })
-}
-
-// stopFormerStarts orders the stop of all starts for former incarnations of a server, so that the present one doesn't carry them out. The runs that it has
-// are stopped by themselves.
-func (c *Core) stopFormerStarts(s *server) {
-	if len(c.unansweredStarts[s.info.ID]) == 0 {
+	s.inLedger = removed.inLedger
+	if removed.bornMS == s.bornMS {
+		s.knownAt, s.token, s.minToken = removed.knownAt, removed.token, removed.minToken
 		return
 	}
-	current := c.currentUnansweredStarts(s.info.ID)
-	c.unansweredStarts[s.info.ID] = current
-	for _, u := range current {
-		if u.bornMS == s.bornMS || u.stoppedIn == s.bornMS || c.now < u.stopRetryAt || c.findRun(s.info.ID, u.task, u.attempt) != nil {
-			continue
-		}
-		u.stopRetryAt = c.now + stopRetryInterval
-		c.count("former_start_stopped")
-		c.orders = append(c.orders, Order{Server: s.target(), Stop: &StopOrder{u.task, u.attempt}})
-	}
-}
-
-// formerStartStopped records that an incarnation of a server has confirmed a stop.
-func (c *Core) formerStartStopped(server jobs.Server, task string, attempt int64) {
-	for _, u := range c.unansweredStarts[server.ID] {
-		if u.task == task && u.attempt == attempt {
-			u.stoppedIn = server.BornMS
-		}
-	}
+	s.formerLeasesEndAt = removed.formerLeasesEndAt
+	c.requireToken(s, removed.token+1)
 }
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -42,7 +42,7 @@
 	}
 	ticket, _ := c.ticketFor(t.step, s) // chooseServer has checked that the ticket exists if one is needed
 	c.orders = append(c.orders, Order{Server: s.target(), Start: &jobs.Order{
-		LongRunning: t.step.spec.LongRunning, Ticket: ticket, Task: t.id, Attempt: r.attempt, Text: j.sub.Spec.Text, Checkpoint: t.newestCheckpoint().value, LeaseUntil: c.grantLease(s), Fence: c.params.Epoch,
+		LongRunning: t.step.spec.LongRunning, Ticket: ticket, Task: t.id, Attempt: r.attempt, Text: j.sub.Spec.Text, Checkpoint: t.newestCheckpoint().value, LeaseUntil: c.grantLease(s), Fence: s.token,
 	}})
 }
 
@@ -121,7 +121,7 @@
 	r.state = runStopping
 	r.stopSent, r.stopConfirmed = true, false
 	r.stopRetryAt = c.now + stopRetryInterval
-	c.orders = append(c.orders, Order{Server: r.server.target(), Stop: &StopOrder{r.task.id.String(), r.attempt}})
+	c.orders = append(c.orders, Order{Server: r.server.target(), Stop: &StopOrder{r.task.id.String(), r.attempt, r.server.token}})
 }
 
 func (c *Core) findRun(server, key string, attempt int64) *run {
@@ -138,9 +138,8 @@
 // StartAnswered handles the answer to a start that was sent to an incarnation of a server.
 func (c *Core) StartAnswered(asked jobs.Server, key string, attempt int64, result jobs.StartResult) {
 	r := c.findRun(asked.ID, key, attempt)
-	if result == jobs.StartUnknown {
-		c.addUnansweredStart(asked, key, attempt)
-		c.grantUnanswered(asked)
+	if result != jobs.StartUnknown {
+		c.grantAnswered(asked)
 	}
 	if r == nil {
 		return
@@ -212,7 +211,6 @@
 	if !confirmed {
 		return
 	}
-	c.formerStartStopped(asked, key, attempt)
 	if r := c.findRun(asked.ID, key, attempt); r != nil && r.state == runStopping && r.server.bornMS == asked.BornMS {
 		r.stopConfirmed, r.confirmedAt = true, c.now
 	}
@@ -275,7 +273,7 @@
 		return
 	}
 	c.count("run_unwanted")
-	c.orders = append(c.orders, Order{Server: s.target(), Stop: &StopOrder{a.Task, a.Attempt}})
+	c.orders = append(c.orders, Order{Server: s.target(), Stop: &StopOrder{a.Task, a.Attempt, s.token}})
 }
 
 // findTask returns the task with the given id, or nil.
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -9,10 +9,10 @@
 )
 
 func (c *Core) newServer(info jobs.Server) *server {
-	s := &server{info: info, runs: map[string]*run{}, bornMS: info.BornMS, knownAt: c.now, idleSince: c.now, fillerPace: initialFillerPace}
+	s := &server{info: info, runs: map[string]*run{}, bornMS: info.BornMS, knownAt: c.now, idleSince: c.now, fillerPace: initialFillerPace, token: c.token}
 	c.servers[info.ID] = s
 	c.addToMachine(s)
-	c.awaitFormerLeases(s)
+	c.recallRemoved(s)
 	return s
 }
 
@@ -170,7 +170,6 @@
 
 // dropRuns removes all runs of a server on which nothing can run any more.
 func (c *Core) dropRuns(s *server) {
-	c.collectUnanswered(s)
 	for _, r := range s.runs {
 		c.count("run_lost")
 		c.removeRun(r)
@@ -200,6 +199,7 @@
 // Renewal is the content of the next renewal of a server's leases.
 type Renewal struct {
 	Server     jobs.Server
+	Fence      int64
 	LeaseUntil int64         // on the server's clock, in milliseconds; 0 if the clock isn't known yet or the server doesn't answer
 	AckCursor  int64         // number of the newest end that the server may discard
 	Wait       time.Duration // how long the server waits for the end of a run before it answers
@@ -212,7 +212,7 @@
 	if s == nil {
 		return Renewal{}, false
 	}
-	r := Renewal{Server: s.target(), AckCursor: s.storedEnd}
+	r := Renewal{Server: s.target(), Fence: s.token, AckCursor: s.storedEnd}
 	for _, run := range s.runs {
 		r.WarmingUp = r.WarmingUp || run.task.step.spec.LongRunning && run.percent < servingPercent && run.state == runActive
 	}
@@ -227,9 +227,12 @@
 	}
 	s := c.servers[id]
 	// An unanswered renewal may still have arrived. The lease of an unresponsive server isn't extended, so that it expires eventually.
-	if s.recvAt > 0 && !s.unresponsive {
+	switch {
+	case s.recvAt == 0 || s.unresponsive:
+	case !s.fenced:
+		r.Wait = endWait // nothing is given to it before a higher token is claimed
+	default:
 		r.LeaseUntil, r.Wait = c.grantLease(s), s.renewalWait(r.WarmingUp)
-		s.renewalUnderway = true
 	}
 	return r, true
 }
@@ -255,6 +258,7 @@
 	until := s.clockMS + (c.now - s.recvAt).Milliseconds() + c.params.Lease.Milliseconds()
 	remaining := time.Duration(until-s.clockMS) * time.Millisecond
 	s.leasesExpireAt = max(s.leasesExpireAt, s.recvAt+maxElapsed(remaining)+leaseMargin)
+	s.openGrants++
 	return until
 }
 
@@ -269,9 +273,6 @@
 	if s == nil {
 		return
 	}
-	if s.renewalUnderway {
-		s.renewalUnderway, s.unansweredAt = false, c.now
-	}
 	if s.unresponsive {
 		c.serverSilent(s) // a single renewal may be lost
 	}
@@ -350,9 +351,9 @@
 	}
 }
 
-// ReportReceived handles a server's answer to the renewal that was sent at the given time.
-func (c *Core) ReportReceived(id string, sent time.Duration, r jobs.Report) {
-	s := c.servers[id]
+// ReportReceived handles a server's answer to a renewal that was sent at the given time.
+func (c *Core) ReportReceived(renewal Renewal, sent time.Duration, r jobs.Report) {
+	s := c.servers[renewal.Server.ID]
 	if s == nil {
 		return
 	}
@@ -366,11 +367,12 @@
 		s.bornMS = r.BornMS
 	}
 	previous := s.recvAt
-	if s.recvAt == 0 {
-		c.fencePredecessors(s)
+	fenced := renewal.Fence >= s.minToken
+	if fenced && !s.fenced {
+		c.serverFenced(s)
 	}
 	s.clockMS, s.sentAt, s.recvAt, s.heardAt, s.unresponsive, s.replaced = r.ClockMS, sent, c.now, c.now, false, false
-	c.forgetSilence(id) // it was only cut off
+	c.forgetSilence(s.info.ID) // it was only cut off
 	c.count("report")
 	if len(r.Ended) > 0 && r.Ended[len(r.Ended)-1].Number <= s.lastEnd {
 		c.count("report_repeated") // all of its ends are known, so the server hasn't waited for another one
@@ -386,21 +388,23 @@
 		listed[a.Task] = true
 		c.runListed(s, a, sent)
 	}
-	c.dropUnlisted(s, listed, sent, r.MoreEnds)
-	c.stopFormerStarts(s)
+	c.dropUnlisted(s, listed, sent, fenced, r.MoreEnds)
 	s.reconciled = s.reconciled || !r.MoreEnds
 	c.observeInterference(s, previous)
 	c.controlPace(s)
 }
 
-// dropUnlisted removes confirmed runs that a server doesn't report, and stops those whose start or stop isn't confirmed. While the server has more ends
-// than it reports, a confirmed run may be among these.
-func (c *Core) dropUnlisted(s *server, listed map[string]bool, sent time.Duration, moreEnds bool) {
+// dropUnlisted removes confirmed runs that a server doesn't report, and stops those whose start or stop isn't confirmed. If the server is fenced, it begins
+// no run that was meant for a former incarnation any more. While it has more ends than it reports, a run may be among these.
+func (c *Core) dropUnlisted(s *server, listed map[string]bool, sent time.Duration, fenced, moreEnds bool) {
 	for key, r := range s.runs {
 		if listed[key] {
 			continue
 		}
 		switch {
+		case !moreEnds && r.former && fenced:
+			c.count("former_start_refused")
+			c.removeRun(r)
 		case !moreEnds && r.state == runActive && r.confirmedAt > 0 && r.confirmedAt < sent,
 			!moreEnds && r.stopConfirmed && r.confirmedAt < sent:
 			c.reportProblem(s, "run_unlisted")
@@ -413,7 +417,7 @@
 
 // schedulable reports whether a server may get new work.
 func (c *Core) schedulable(s *server) bool {
-	return s.listed && s.info.Ready && s.recorded && s.reconciled && !s.terminated && !s.cordoned && !s.released && s.recvAt > 0 &&
+	return s.listed && s.info.Ready && s.recorded && s.fenced && s.reconciled && !s.terminated && !s.cordoned && !s.released && s.recvAt > 0 &&
 		c.now-s.recvAt < maxReportAge && c.now >= s.backoffUntil && !s.unresponsive && !c.hasOverdueStart(s) && !c.withheld(s)
 }
 
--- a/election/election.go
+++ b/election/election.go
@@ -140,10 +140,10 @@
 	return held >= handoverDelay+ClaimDelay(Rank(nodes, name, d))
 }
 
-// ShouldHandOver reports whether a dispatcher should hand over the role, because another node has asked for it.
+// ShouldHandOver reports whether a dispatcher should hand over the role, because another node has asked for it in its first epoch or a later one.
 func ShouldHandOver(nodes map[string]ledger.Node, d ledger.Dispatcher) bool {
 	for name, n := range nodes {
-		if name != d.Node && n.HandoverEpoch == d.Epoch && d.Epoch > 0 {
+		if name != d.Node && n.HandoverEpoch >= d.Epoch && d.Epoch > 0 {
 			return true
 		}
 	}
--- a/events/events.go
+++ b/events/events.go
@@ -38,6 +38,7 @@
 	ServerProblem        = Event{7007, zerolog.InfoLevel, "runs on a server were abandoned, or the server gets no new tasks for a while", []string{"server", "reason", "runs", "report_age_s"}, "nothing; if the reason is server_held and repeats, check the server"}
 	DispatchState        = Event{7008, zerolog.InfoLevel, "state of the dispatcher", []string{"long_running", "started", "on_time", "over_share", "late", "runs", "servers", "counts"}, "if late keeps growing, the pools are too small"}
 	DispatcherHandedOver = Event{7009, zerolog.InfoLevel, "this node hands the dispatcher role over to a stronger node", []string{"epoch"}, "nothing; if it repeats, find out why stronger nodes don't claim first"}
+	EpochRaised          = Event{7010, zerolog.InfoLevel, "this dispatcher has claimed a higher epoch, because a backend server has restarted", []string{"epoch"}, "nothing; if it repeats, find out why servers restart"}
 	JobStored            = Event{7011, zerolog.InfoLevel, "job accepted and stored", []string{"job", "queue", "workspace", "config_version", "took_ms"}, "nothing"}
 	CallRefused          = Event{7012, zerolog.InfoLevel, "call refused", []string{"method", "path", "kind", "status", "error"}, "see the kind in docs/errors.md"}
 	JobEnded             = Event{7013, zerolog.InfoLevel, "job ended", []string{"job", "queue", "workspace", "phase", "waited_ms", "took_ms", "failed_runs", "began_late", "start_slack_ms", "crashes"}, "see docs/OPERATIONS.md for jobs that failed or were late"}
@@ -95,7 +96,7 @@
 		ServerEjected, ServerDown, ServerUp, AnswerRejected,
 		DrainStarted, DrainEmpty, DrainDone, DrainAbandoned,
 		MoveStarted, MoveDone,
-		DispatcherClaimed, DispatcherStarted, DispatcherStopped, DispatcherFenced, OrderFenced, StartRefused, ServerProblem, DispatchState, DispatcherHandedOver, JobStored, CallRefused, JobEnded,
+		DispatcherClaimed, DispatcherStarted, DispatcherStopped, DispatcherFenced, OrderFenced, StartRefused, ServerProblem, DispatchState, DispatcherHandedOver, EpochRaised, JobStored, CallRefused, JobEnded,
 		DependencyLost, DependencyBack, EntryUnreadable, RelayFailed, CallPanicked, ServiceLoad, ProcessorUse, InterferenceChanged,
 		UpkeepOrdered, MoveOrdered, WaveComplete, PoolUse,
 		EvacuationRequested, EvacuationWithdrawn, EvacuationUnknown, StartsHeld, StartsResumed,
--- a/jobnode/appends.go
+++ b/jobnode/appends.go
@@ -107,14 +107,16 @@
 	for ctx.Err() == nil {
 		batch, puts, fromNodes := d.nextBatch()
 		due := boottime.Now()-last >= roleRenewInterval
-		if due {
-			batch.Records = append(batch.Records, ledger.DispatcherRecord(d.roleRecord()))
+		if due || batch.Epoch > 0 {
+			d.claimed = max(d.claimed, batch.Epoch)
+			batch.Records = append(batch.Records, ledger.DispatcherRecord(d.roleRecord(d.claimed)))
 			last = boottime.Now()
 		}
 		if len(batch.Records) > 0 && !d.append(ctx, batch.Records) {
 			answerPuts(puts, PutUnconfirmed)
 			return
 		}
+		d.beginEpoch(batch.Epoch)
 		d.applyStored(fromNodes)
 		answerPuts(puts, PutStored)
 		d.batchStored(batch)
@@ -126,6 +128,15 @@
 	}
 }
 
+// beginEpoch uses a higher epoch, which the last append has claimed, for the appends from now on. They begin after the claim of another node for the same
+// epoch, which the store may have accepted since, and which the ledger ignores.
+func (d *dispatcher) beginEpoch(epoch int64) {
+	if epoch > d.epoch {
+		d.epoch, d.sequence = epoch, claimSequence
+		events.Log(d.log, events.EpochRaised, epoch)
+	}
+}
+
 // nextBatch returns the decisions since the last batch, together with pending records of other nodes, which are also returned separately.
 func (d *dispatcher) nextBatch() (batch dispatch.Batch, puts []pendingPut, fromNodes []ledger.Record) {
 	puts = d.takePuts()
@@ -184,7 +195,7 @@
 	d.sequence++
 	for ctx.Err() == nil {
 		sent := boottime.Now()
-		_, err := d.store.Append(ctx, platform.TopicJobs, out, &platform.Producer{Name: producerName, Epoch: d.role.Epoch, Sequence: d.sequence})
+		_, err := d.store.Append(ctx, platform.TopicJobs, out, &platform.Producer{Name: producerName, Epoch: d.epoch, Sequence: d.sequence})
 		switch {
 		case err == nil:
 			d.appends.report(nil)
@@ -193,7 +204,7 @@
 			d.mu.Unlock()
 			return true
 		case errors.Is(err, platform.ErrFenced), errors.Is(err, platform.ErrOutOfSequence):
-			events.Log(d.log, events.DispatcherFenced, d.role.Epoch, errText(err))
+			events.Log(d.log, events.DispatcherFenced, d.epoch, errText(err))
 			d.fenced.Store(true)
 			d.cancel()
 			return false
@@ -214,7 +225,7 @@
 	d.mu.Lock()
 	batch := d.core.TakeBatch()
 	d.mu.Unlock()
-	role := d.roleRecord()
+	role := d.roleRecord(d.epoch)
 	role.Released = true
 	d.append(ctx, append(batch.Records, ledger.DispatcherRecord(role)))
 }
--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -46,7 +46,7 @@
 type dispatcher struct {
 	node         *Node
 	log          zerolog.Logger
-	role         ledger.Dispatcher
+	role         ledger.Dispatcher // as it was claimed first; it counts for machine orders
 	store        *platform.StoreClient
 	servers      *relay.Client
 	follower     *follower
@@ -64,6 +64,8 @@
 	puts      []pendingPut             // records of other nodes that wait for the next append
 	// putsClosed says that no more records of other nodes are accepted.
 	putsClosed bool
+	epoch      int64 // the newest epoch that this dispatcher has claimed; only its appends use it
+	claimed    int64 // the newest epoch that it may have claimed
 	held       bool  // starts are held, because the operators' requests aren't known well enough
 	sequence   int64 // number of the last append in this epoch
 	appends    dependencyLog
@@ -73,19 +75,19 @@
 	machineList atomic.Pointer[[]jobs.Machine]
 }
 
-// runDispatcher dispatches until the role is lost or ctx ends. The role lease counts from the claim, because the node may have been suspended
-// since.
-func (n *Node) runDispatcher(ctx context.Context, role ledger.Dispatcher, claimedAt time.Duration) {
+// runDispatcher dispatches until the role is lost or ctx ends, and returns the newest epoch that it may have claimed. The role lease counts from the claim,
+// because the node may have been suspended since.
+func (n *Node) runDispatcher(ctx context.Context, role ledger.Dispatcher, claimedAt time.Duration) int64 {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	d := &dispatcher{
 		node: n, log: n.log, role: role, store: n.store, servers: relay.NewClient(n.servers, n.log), follower: n.follower, operators: n.operators, cancel: cancel,
-		acquiredAt: boottime.Now(), claimedAt: claimedAt, renewedAt: claimedAt, renewing: map[string]chan struct{}{}, sequence: 1,
+		acquiredAt: boottime.Now(), claimedAt: claimedAt, renewedAt: claimedAt, renewing: map[string]chan struct{}{}, epoch: role.Epoch, claimed: role.Epoch, sequence: 1,
 		appends: dependencyLog{name: "appends of the dispatcher", log: n.log}, wake: make(chan struct{}, 1),
 	}
 	defer d.servers.Close()
 	if !d.takeOver() {
-		return
+		return d.claimed
 	}
 	defer collectLessOften(n.settings.MemoryMB)()
 	defer n.shareMemory()()
@@ -101,8 +103,9 @@
 	wg.Wait()
 	d.release()
 	n.metrics.interference.Reset()
-	events.Log(n.log, events.DispatcherStopped, role.Epoch)
+	events.Log(n.log, events.DispatcherStopped, d.epoch)
 	d.flushEventCounts()
+	return d.claimed
 }
 
 // takeOver builds the core from the ledger. It reports false if there is no configuration yet, if the ledger is incomplete, or if the
@@ -219,11 +222,12 @@
 
 func (d *dispatcher) schedulePass() {
 	for _, ch := range d.follower.takeChanges() {
-		if ch.kind == ledger.DispatcherChanged {
+		if ch.kind != ledger.DispatcherChanged {
+			d.applyChange(ch)
+		} else if d.isReplaced() {
 			d.cancel()
 			return
 		}
-		d.applyChange(ch)
 	}
 	if !d.canSendOrders() {
 		return
@@ -260,6 +264,23 @@
 	})
 }
 
+// isReplaced reports whether the ledger names another dispatcher.
+func (d *dispatcher) isReplaced() bool {
+	d.follower.mu.Lock()
+	defer d.follower.mu.Unlock()
+	return d.follower.ledger.Dispatcher.Incarnation != d.role.Incarnation
+}
+
+// tokenRefused handles the refusal of a call with a fencing token, which may be outdated because this dispatcher uses a newer one.
+func (d *dispatcher) tokenRefused(server string, token int64) {
+	d.mu.Lock()
+	newer := d.core.TokenRefused(server, token)
+	d.mu.Unlock()
+	if !newer {
+		d.superseded(server)
+	}
+}
+
 // superseded stops this dispatcher because a server has seen the fencing token of its successor.
 func (d *dispatcher) superseded(server string) {
 	if d.fenced.CompareAndSwap(false, true) {
--- a/jobnode/elector.go
+++ b/jobnode/elector.go
@@ -29,6 +29,8 @@
 	// claimConfirmTimeout bounds the wait until the ledger shows which node has won an epoch.
 	claimConfirmTimeout = 2 * time.Second
 	producerName        = "dispatcher"
+	// claimSequence is the number of a claim among the appends in its epoch.
+	claimSequence = 1
 )
 
 // elector claims the dispatcher role when it is vacant, and runs the dispatcher while this node holds the role.
@@ -41,10 +43,10 @@
 	log               zerolog.Logger
 	eligibleSince     time.Duration // when this node became able to dispatch
 	claimableSince    time.Duration // when the role became claimable; 0 if it isn't
-	lostEpoch         int64         // the last epoch in which this node was the dispatcher
+	lostEpoch         int64         // the last epoch in which this node was the dispatcher, or may have been
 	claimedAt         time.Duration // when the last claim was sent
-	// run dispatches until the role is lost or ctx ends. The role lease counts from claimedAt.
-	run func(ctx context.Context, d ledger.Dispatcher, claimedAt time.Duration)
+	// run dispatches until the role is lost or ctx ends, and returns the newest epoch that it may have claimed. The role lease counts from claimedAt.
+	run func(ctx context.Context, d ledger.Dispatcher, claimedAt time.Duration) int64
 }
 
 // Run watches the dispatcher until ctx ends.
@@ -53,15 +55,14 @@
 		sleep(ctx, electionDelay)
 		d, claim := e.evaluate()
 		switch {
-		case d.Incarnation == e.incarnation && d.Epoch == e.lostEpoch:
+		case e.isLost(d):
 			// The role was lost to a claim that hasn't shown in the ledger yet, or the sequence of this node's appends is broken.
 			if claim {
 				e.claim(ctx)
 			}
 		case d.Incarnation == e.incarnation && !d.Released && d.Epoch > 0:
-			e.dispatch(ctx, d)
-			e.lostEpoch = d.Epoch
-			e.presence.markEnded(d.Epoch)
+			e.lostEpoch = e.dispatch(ctx, d)
+			e.presence.markEnded(e.lostEpoch)
 		case claim:
 			e.claim(ctx)
 		}
@@ -69,6 +70,11 @@
 	return nil
 }
 
+// isLost reports whether this node has held a role and lost it.
+func (e *elector) isLost(d ledger.Dispatcher) bool {
+	return d.Incarnation == e.incarnation && d.Epoch <= e.lostEpoch
+}
+
 // evaluate returns the last dispatcher, and whether to claim its role now. It asks a weaker dispatcher to hand over the role.
 func (e *elector) evaluate() (ledger.Dispatcher, bool) {
 	configured := e.operators.view().config != nil
@@ -84,12 +90,12 @@
 	}
 	holder := ledger.Predecessor{Epoch: d.Epoch, Node: d.Node, Incarnation: d.Incarnation, Start: d.Start}
 	role := election.Role{
-		Vacant:       d.Epoch == 0 || d.Released || l.Retired(holder) && d.Epoch != e.lostEpoch,
+		Vacant:       d.Epoch == 0 || d.Released || l.Retired(holder) && !e.isLost(d),
 		SilentFor:    f.confirmedAt - max(f.heardAt, e.eligibleSince),
 		StoreLatency: f.storeLatency,
 	}
 	f.suspicious = role.Vacant || now-f.heardAt > election.SuspicionTimeout
-	if !f.suspicious && election.ShouldRequestHandover(l.Nodes, e.node, d, now-f.claimSeenAt[d.Epoch]) {
+	if !f.suspicious && election.ShouldRequestHandover(l.Nodes, e.node, d, now-f.holderSeenAt) {
 		e.presence.requestHandover(d.Epoch)
 	}
 	if !role.Claimable() {
@@ -113,7 +119,7 @@
 	r := ledger.DispatcherRecord(d)
 	e.claimedAt = boottime.Now()
 	_, err := e.store.Append(ctx, platform.TopicJobs, []platform.Record{{Key: r.Key, Value: r.Value}},
-		&platform.Producer{Name: producerName, Epoch: d.Epoch, Sequence: 1})
+		&platform.Producer{Name: producerName, Epoch: d.Epoch, Sequence: claimSequence})
 	events.Log(e.log, events.DispatcherClaimed, d.Epoch, errText(err))
 	e.claimableSince = 0
 	if err != nil {
@@ -137,10 +143,10 @@
 	}
 }
 
-func (e *elector) dispatch(ctx context.Context, d ledger.Dispatcher) {
+func (e *elector) dispatch(ctx context.Context, d ledger.Dispatcher) int64 {
 	e.follower.setDispatching(true)
-	e.run(ctx, d, e.claimedAt)
-	e.follower.setDispatching(false)
+	defer e.follower.setDispatching(false)
+	return e.run(ctx, d, e.claimedAt)
 }
 
 func (f *follower) setDispatching(on bool) {
--- a/jobnode/follower.go
+++ b/jobnode/follower.go
@@ -61,6 +61,8 @@
 	storeLatencyAt time.Duration
 	suspicious     bool                     // the dispatcher may be gone: read without waiting
 	heardAt        time.Duration            // when a record of the dispatcher was last read
+	holder         string                   // incarnation of the node that has the dispatcher role
+	holderSeenAt   time.Duration            // when its first claim was read
 	claimSeenAt    map[int64]time.Duration  // when the first record of each epoch was read
 	history        *forecast.History        // of the submitted jobs
 	orderSeenAt    map[string]time.Duration // when the last order for each machine was read
@@ -249,8 +251,11 @@
 	return f.orderSeenAt[machine]
 }
 
-// recordClaim records when the current epoch of the dispatcher was first read. f.mu must be held.
+// recordClaim records when the current dispatcher and its epoch were first read. f.mu must be held.
 func (f *follower) recordClaim() {
+	if holder := f.ledger.Dispatcher.Incarnation; holder != f.holder {
+		f.holder, f.holderSeenAt = holder, boottime.Now()
+	}
 	epoch := f.ledger.Dispatcher.Epoch
 	if _, seen := f.claimSeenAt[epoch]; !seen {
 		f.claimSeenAt[epoch] = boottime.Now()
--- a/jobnode/orders.go
+++ b/jobnode/orders.go
@@ -29,7 +29,7 @@
 	case o.Start != nil:
 		result := d.servers.Start(ctx, o.Server, *o.Start)
 		if result == jobs.StartFenced {
-			d.superseded(o.Server.ID)
+			d.tokenRefused(o.Server.ID, o.Start.Fence)
 		}
 		d.update(func(c *dispatch.Core) { c.StartAnswered(o.Server, o.Start.Task.String(), o.Start.Attempt, result) })
 		if result == jobs.Started && o.Start.LongRunning {
@@ -40,10 +40,10 @@
 			d.wakeUp()
 		}
 	case o.Stop != nil:
-		ok := d.servers.Stop(ctx, o.Server, o.Stop.Task, o.Stop.Attempt, d.role.Epoch)
+		ok := d.servers.Stop(ctx, o.Server, o.Stop.Task, o.Stop.Attempt, o.Stop.Fence)
 		d.update(func(c *dispatch.Core) { c.StopAnswered(o.Server, o.Stop.Task, o.Stop.Attempt, ok) })
 	case o.Pace != nil:
-		if !d.servers.Pace(ctx, o.Server, o.Pace.Task, o.Pace.Attempt, d.role.Epoch, o.Pace.Percent) {
+		if !d.servers.Pace(ctx, o.Server, o.Pace.Task, o.Pace.Attempt, o.Pace.Fence, o.Pace.Percent) {
 			d.update(func(c *dispatch.Core) { c.PaceUnanswered(o.Server.ID, o.Pace.Task, o.Pace.Attempt) })
 		}
 	}
--- a/jobnode/predecessors.go
+++ b/jobnode/predecessors.go
@@ -49,11 +49,12 @@
 	return d.predecessors.ordersUntil(d.follower)
 }
 
-// roleRecord returns the record of the role, with the predecessors that haven't retired.
-func (d *dispatcher) roleRecord() ledger.Dispatcher {
+// roleRecord returns the record of the role in an epoch, with the predecessors that haven't retired.
+func (d *dispatcher) roleRecord(epoch int64) ledger.Dispatcher {
 	d.follower.mu.Lock()
 	defer d.follower.mu.Unlock()
 	role := d.role
+	role.Epoch = epoch
 	role.Predecessors = slices.Clone(d.predecessors.active)
 	return role
 }
--- a/jobnode/queries.go
+++ b/jobnode/queries.go
@@ -138,9 +138,10 @@
 func (d *dispatcher) status([]byte) (any, error) {
 	var n dispatch.Counts
 	var loads map[string]loadshed.ServiceLoad
-	d.update(func(c *dispatch.Core) { n, loads = c.Counts(), c.ServiceLoads() })
+	var epoch int64
+	d.update(func(c *dispatch.Core) { n, loads, epoch = c.Counts(), c.ServiceLoads(), c.Epoch() })
 	s := operatorapi.DispatcherStatus{
-		Node: d.node.settings.Name, Epoch: d.role.Epoch, Runs: n.Runs, Servers: n.Servers, Services: []operatorapi.ServiceStatus{},
+		Node: d.node.settings.Name, Epoch: epoch, Runs: n.Runs, Servers: n.Servers, Services: []operatorapi.ServiceStatus{},
 		Jobs: operatorapi.JobCounts{LongRunning: n.LongRunning, Started: n.Started, OnTime: n.OnTime, OverShare: n.OverShare, Late: n.Late},
 	}
 	for _, name := range slices.Sorted(maps.Keys(loads)) {
--- a/jobnode/renewals.go
+++ b/jobnode/renewals.go
@@ -114,17 +114,14 @@
 
 // renew sends a renewal and handles its answer. sent is a time before it is sent.
 func (d *dispatcher) renew(ctx context.Context, id string, r dispatch.Renewal, sent time.Duration) {
-	report, result := d.servers.Renew(ctx, r.Server, platform.Renewal{LeaseUntil: r.LeaseUntil, Fence: d.role.Epoch, Taken: r.AckCursor, Wait: r.Wait})
+	report, result := d.servers.Renew(ctx, r.Server, platform.Renewal{LeaseUntil: r.LeaseUntil, Fence: r.Fence, Taken: r.AckCursor, Wait: r.Wait})
 	d.update(func(c *dispatch.Core) {
-		if report.Repeated {
-			c.RenewalRepeated(r)
-		}
-		if result != platform.RenewalUnanswered && result != platform.RenewalFenced {
+		if result != platform.RenewalUnanswered && result != platform.RenewalFenced && !report.Repeated {
 			c.RenewalAnswered(r)
 		}
 		switch result {
 		case platform.Renewed:
-			c.ReportReceived(id, sent, report)
+			c.ReportReceived(r, sent, report)
 		case platform.RenewalWrongInstance:
 			c.ServerReplaced(r.Server)
 		case platform.RenewalRestarted:
@@ -139,7 +136,7 @@
 		return
 	}
 	if result == platform.RenewalFenced {
-		d.superseded(id)
+		d.tokenRefused(id, r.Fence)
 	}
 	sleep(ctx, renewalRetryDelay)
 }
