Take a view for recent once a read has reached the end of the log

Cause: the view of the operators' records was confirmed by each page, also by one that ends before records which were stored long ago.

Only a read that reaches the end confirms the view now, at the time it was sent. The newest record of each key, which is read first, doesn't, so reads don't wait until the end is reached. By the same rule the list of servers is complete only then. Found on the way: waves and servers stayed known whose removal had been dropped from the log before it was read, and an older record could follow a newer one of its key; both are mended.

Changed test: TestStartsResumeSoonAfterAnOutage expects that the read after the newest records doesn't wait either; it still asks that a node which has caught up waits, and doesn't after a failed read.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -62,6 +62,10 @@
 		n.cuts.Add(1)
 		time.Sleep(e.lasts)
 		n.cuts.Add(-1)
+	case rejectNode:
+		n.rejections.Add(1)
+		time.Sleep(e.lasts)
+		n.rejections.Add(-1)
 	case cutServer:
 		s.changeCuts(1)
 		time.Sleep(e.lasts)
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -82,6 +82,9 @@
 	for i := range askers {
 		l.wg.Go(func() { l.askUntilStopped(i) })
 	}
+	for i := range w.nodes {
+		l.wg.Go(func() { l.useWithdrawnKeys(i) })
+	}
 	return l
 }
 
@@ -260,15 +263,20 @@
 	return steps
 }
 
-// call makes a call and returns the status, which is noAnswer without an answer. It records an answer that planned work has cut off.
+// call makes a call with the callers' key.
 func (c *caller) call(method, id string, body []byte) (int, string) {
+	return c.callWith(callerKey, method, id, body)
+}
+
+// callWith makes a call with a key and returns the status, which is noAnswer without an answer. It records an answer that planned work has cut off.
+func (c *caller) callWith(key, method, id string, body []byte) (int, string) {
 	n := c.node()
 	req, err := http.NewRequest(method, "http://"+n.callers+queuePrefix+id, bytes.NewReader(body))
 	if err != nil {
 		return noAnswer, err.Error()
 	}
 	req.Host = callerHost
-	req.Header.Set("Authorization", "Bearer "+callerKey)
+	req.Header.Set("Authorization", "Bearer "+key)
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Comfreyrouter-Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
 	sent, connections := time.Now(), 0
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -24,6 +24,7 @@
 	cutZone           kind = "cut off a zone" // from the store, and from the nodes and servers of other zones
 	cutDispatcher     kind = "cut off the zone of the dispatcher"
 	cutNode           kind = "cut a node off from the store"
+	rejectNode        kind = "let the store reject a node"
 	cutServer         kind = "cut off a server"
 	restartServer     kind = "restart a server"     // under its id, with its connections closed
 	powerCycleServer  kind = "power-cycle a server" // under its id, with silent connections
@@ -63,6 +64,15 @@
 	{cutDispatcher, 1},
 }
 
+// viewWeights are those of plans in which nodes fall behind on the operators' records.
+var viewWeights = []weight{
+	{changeConfig, 10},
+	{rejectNode, 8},
+	{cutNode, 1},
+	{killNode, 1},
+	{freezeNode, 1},
+}
+
 // allWeights are those of plans with every kind of event. The first phase of a plan has planned work only.
 var allWeights = []weight{
 	{stopNode, 4},
@@ -75,6 +85,7 @@
 	{cutZone, 2},
 	{cutDispatcher, 4},
 	{cutNode, 2},
+	{rejectNode, 2},
 	{cutServer, 3},
 	{restartServer, 4},
 	{powerCycleServer, 4},
@@ -93,6 +104,8 @@
 	maxLost      = 2                       // servers that are lost for good
 	// maxCut is the longest cut, freeze or outage that the users' sites have.
 	maxCut = 5500 * time.Millisecond
+	// maxRejected is the longest time for which the store rejects a node.
+	maxRejected = 9 * time.Second
 )
 
 // newPlan draws the events of a seed for a while. Events come alone or in series, and overlap. A series has one kind of fault, or any planned work, and every
@@ -123,6 +136,9 @@
 			if k == restartServer || k == powerCycleServer {
 				e.lasts /= 4
 			}
+			if k == rejectNode {
+				e.lasts = time.Duration(float64(e.lasts) * maxRejected.Seconds() / maxCut.Seconds())
+			}
 			plan = append(plan, e)
 			if rng.IntN(2) == 0 {
 				break
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -66,6 +66,17 @@
 	}
 }
 
+// TestViewSoak guards against the same, and against withdrawn keys that are accepted, while the configuration changes and nodes fall behind on it.
+func TestViewSoak(t *testing.T) {
+	for i := range (*seeds + 1) / 2 {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			soak(t, seed, newPlan(seed, viewWeights, *length, *nodeCount, *servers), shortTasks)
+		})
+	}
+}
+
 // TestRestartedServersAreCutOff guards against the same while half of the servers lose power at once, restart under their ids and are cut off soon after,
 // also with a change of the dispatcher in between. Calls for their former incarnations are carried out by the present ones.
 func TestRestartedServersAreCutOff(t *testing.T) {
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -47,19 +47,21 @@
 	http    []*httptest.Server
 	ended   chan struct{}
 
-	storeDown  atomic.Int32 // outages that are open
-	loseOdds   atomic.Int32 // one of so many calls to the store loses its answer; 0 for none
-	unplanned  activity     // faults, as opposed to planned work
-	usage      usage
-	late       atomic.Int64 // calls that were carried out late
-	mu         sync.Mutex
-	zoneCuts   map[string]int
-	epochs     map[int64]string // zone of the dispatcher, by epoch
-	steps      map[string][]stepSpec
-	version    int
-	violations []string
-	notes      []string
-	begun      time.Time
+	storeDown atomic.Int32 // outages that are open
+	loseOdds  atomic.Int32 // one of so many calls to the store loses its answer; 0 for none
+	unplanned activity     // faults, as opposed to planned work
+	usage     usage
+	late      atomic.Int64 // calls that were carried out late
+	mu        sync.Mutex
+	zoneCuts  map[string]int
+	epochs    map[int64]string // zone of the dispatcher, by epoch
+	steps     map[string][]stepSpec
+	version   int
+	// withdrawnAt is when the key of each version of the configuration was withdrawn, at the latest.
+	withdrawnAt map[int]time.Time
+	violations  []string
+	notes       []string
+	begun       time.Time
 }
 
 // stepSpec is a step of a job, in the form in which callers submit it.
@@ -206,7 +208,7 @@
 // startWorld starts the platform, the servers and the nodes, and waits until the nodes are ready.
 func startWorld(dir string, seed uint64, nodes, servers int) (*world, error) {
 	w := &world{
-		dir: dir, seed: seed, store: keyedstore.New(), ended: make(chan struct{}), zoneCuts: map[string]int{}, epochs: map[int64]string{}, steps: map[string][]stepSpec{}, begun: time.Now(),
+		dir: dir, seed: seed, store: keyedstore.New(), ended: make(chan struct{}), zoneCuts: map[string]int{}, epochs: map[int64]string{}, steps: map[string][]stepSpec{}, withdrawnAt: map[int]time.Time{}, begun: time.Now(),
 	}
 	w.configure()
 	machines := w.serve(http.HandlerFunc(w.listMachines))
@@ -274,12 +276,16 @@
 	}
 	data, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes, "services": []map[string]any{{"name": "pool", "preconditions": true}},
-		"tenants": []map[string]any{{"name": "w", "api_keys": []string{callerKey, fmt.Sprintf("key-of-%d", version)}, "weight": 50}},
+		"tenants": []map[string]any{{"name": "w", "api_keys": []string{callerKey, versionKey(version)}, "weight": 50}},
+		"note":    strings.Repeat("x", pageKB<<10), // a page has one version
 	})
 	if err != nil {
 		panic(err) // maps of plain values always encode
 	}
 	w.store.Put(platform.TopicOperators, platform.KeyConfiguration, data)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.withdrawnAt[version-1] = time.Now()
 }
 
 func (w *world) listMachines(rw http.ResponseWriter, _ *http.Request) {
@@ -329,6 +335,7 @@
 	w                                    *world
 	name, zone, callers, ready, settings string
 	cuts                                 atomic.Int32 // open cuts between it and the store, without those of its zone
+	rejections                           atomic.Int32 // open times in which the store rejects its calls
 
 	busy sync.Mutex // held while its process is being stopped or killed, and started again
 	mu   sync.Mutex
@@ -377,12 +384,19 @@
 	if n.isCut() {
 		n.w.hang(r)
 	}
-	if n.w.storeDown.Load() > 0 {
+	if n.w.storeDown.Load() > 0 || n.rejections.Load() > 0 {
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if q := r.URL.Query(); q.Get("topic") == platform.TopicOperators && q.Has("max_kb") {
+		q.Set("max_kb", strconv.Itoa(pageKB))
+		r.URL.RawQuery = q.Encode()
+	}
 	answer := httptest.NewRecorder()
 	n.w.store.ServeHTTP(answer, r)
+	if strings.Contains(r.URL.RawQuery, "topic="+platform.TopicOperators) && answer.Body.Len() > pageKB<<10 {
+		time.Sleep(pageTime)
+	}
 	if n.isCut() {
 		n.w.hang(r)
 	}
--- a/internal/standin/keyedstore/store.go
+++ b/internal/standin/keyedstore/store.go
@@ -232,7 +232,7 @@
 		end, first, appended := int64(len(t.records)), t.first, t.appended
 		var records []Record
 		if from >= first && from < end {
-			records = slices.Clone(t.records[from:])
+			records = firstPage(t.records[from:], q.Get("max_kb"))
 		}
 		s.mu.Unlock()
 		if from < first {
@@ -253,6 +253,24 @@
 	}
 }
 
+// defaultPageKB is the size of a page of records, in KiB, if a read names none.
+const defaultPageKB = 1024
+
+// firstPage returns a copy of the first records that fit into a page of a size in KiB, at least one.
+func firstPage(records []Record, maxKB string) []Record {
+	limit, err := strconv.Atoi(maxKB)
+	if err != nil {
+		limit = defaultPageKB
+	}
+	n, size := 1, len(records[0].Key)+len(records[0].Value)
+	for ; n < len(records); n++ {
+		if size += len(records[n].Key) + len(records[n].Value); size > limit<<10 {
+			break
+		}
+	}
+	return slices.Clone(records[:n])
+}
+
 // encode returns the body of a read: the end offset, the first kept offset (8 bytes each, big-endian) and the records in the format of decode.
 func encode(end, first int64, records []Record) []byte {
 	out := binary.BigEndian.AppendUint64(nil, uint64(end))
--- a/jobnode/dispatcher.go
+++ b/jobnode/dispatcher.go
@@ -292,39 +292,53 @@
 // followServerList follows the platform's list of servers.
 func (d *dispatcher) followServerList(ctx context.Context) {
 	d.startRenewals(ctx) // servers that a predecessor may have given work to
-	from := int64(-1)
+	from, caughtUp := int64(-1), false
 	list := newServerList(d.log)
 	reads := dependencyLog{name: "list of servers", log: d.log}
 	for ctx.Err() == nil {
-		records, next, err := d.readServerList(ctx, from)
+		var err error
+		from, caughtUp, err = d.stepServerList(ctx, list, from, caughtUp)
 		reads.report(err)
-		from = next
 		if err != nil {
 			sleep(ctx, storeRetryDelay)
 			continue
 		}
-		d.update(func(c *dispatch.Core) {
-			list.applyRecords(c, records)
-			c.ServerListComplete()
-		})
 		d.startRenewals(ctx)
 		d.wakeUp()
 		sleep(ctx, serverListDelay)
 	}
 }
 
-func (d *dispatcher) readServerList(ctx context.Context, from int64) ([]platform.Record, int64, error) {
+// stepServerList reads and applies the entries from an offset on, or the newest entry of each server if the offset is below 0. It returns where to continue,
+// and whether it has reached the end of the log: only then the list is complete.
+func (d *dispatcher) stepServerList(ctx context.Context, list *serverList, from int64, caughtUp bool) (int64, bool, error) {
 	if from < 0 {
-		return d.store.LatestByKey(ctx, platform.TopicServers)
+		records, end, err := d.store.LatestByKey(ctx, platform.TopicServers)
+		if err != nil {
+			return -1, false, err
+		}
+		d.update(func(c *dispatch.Core) { list.restore(c, records) })
+		return end, false, nil
+	}
+	var wait time.Duration
+	if caughtUp {
+		wait = serverListWait
 	}
-	page, err := d.store.Read(ctx, platform.TopicServers, from, serverListWait, platform.MaxPageKB)
+	page, err := d.store.Read(ctx, platform.TopicServers, from, wait, platform.MaxPageKB)
 	if errors.Is(err, platform.ErrRecordsDeleted) {
-		return nil, -1, err
+		return -1, false, err
 	}
 	if err != nil {
-		return nil, from, err
+		return from, false, err
 	}
-	return page.Records, page.Next, nil
+	caughtUp = page.Next >= page.End
+	d.update(func(c *dispatch.Core) {
+		list.applyRecords(c, page.Records)
+		if caughtUp {
+			c.ServerListComplete()
+		}
+	})
+	return page.Next, caughtUp, nil
 }
 
 // flushEventCounts moves the core's event counts into the metrics. Answers to orders may still arrive while a dispatcher stops.
--- a/jobnode/evacuations.go
+++ b/jobnode/evacuations.go
@@ -66,13 +66,6 @@
 	return sent
 }
 
-// confirmEvacuations records that no request has been missed that was acknowledged before a time.
-func (o *operatorFollower) confirmEvacuations(at time.Duration) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.evacuation.ConfirmedAt = at
-}
-
 // evacuationView returns what this node knows of the evacuations.
 func (o *operatorFollower) evacuationView() evacuation.View {
 	o.mu.RLock()
--- a/jobnode/evacuations_test.go
+++ b/jobnode/evacuations_test.go
@@ -63,11 +63,11 @@
 	}
 	assert.Equal(t, jobs.StartViewOutdated, start("z"), "it has never read")
 	request := platform.Record{Key: platform.KeyEvacuationPrefix + "z", Value: []byte("not read")}
-	o.applyRecords([]platform.Record{request, {Key: platform.KeyEvacuationPrefix, Value: []byte("{}")}}, 0)
-	o.confirmEvacuations(boottime.Now())
+	o.applyRecords([]platform.Record{request, {Key: platform.KeyEvacuationPrefix, Value: []byte("{}")}})
+	o.confirm(0, boottime.Now())
 	assert.Equal(t, jobs.StartEvacuated, start("z"))
 	assert.Equal(t, jobs.Started, start("y"))
-	o.confirmEvacuations(boottime.Now() - 4*time.Second)
+	o.confirm(0, boottime.Now()-4*time.Second)
 	assert.Equal(t, jobs.StartViewOutdated, start("y"))
 	assert.Equal(t, 1, servers.starts)
 	assert.Equal(t, 10*time.Second, upToDateAt(10*time.Second, time.Second, 12*time.Second, false))
@@ -83,11 +83,17 @@
 		if r.URL.Path == "/log-newest" {
 			return keyedstore.NoFault
 		}
-		waits <- r.URL.Query().Get("wait_ms")
+		wait := r.URL.Query().Get("wait_ms")
+		waits <- wait
+		if wait == "0" && len(waits) == 1 {
+			return keyedstore.NoFault
+		}
 		return keyedstore.Unavailable
 	})
 	o := newOperatorFollower(platform.NewStoreClient(f.address.String()), Bounds{RevokeWithin: time.Second, Evacuate: 5 * time.Second}, zerolog.Nop())
 	go func() { assert.NoError(t, o.Run(t.Context())) }()
+	assert.Eventually(t, func() bool { return len(waits) >= 3 }, waitTimeout, pollInterval)
+	assert.Equal(t, "0", <-waits, "the log hasn't been read yet")
 	assert.Equal(t, "900", <-waits)
 	assert.Equal(t, "0", <-waits, "after a failed read")
 }
@@ -99,11 +105,10 @@
 	record := func(name, value string) platform.Record {
 		return platform.Record{Key: platform.KeyEvacuationPrefix + name, Value: []byte(value)}
 	}
-	o.applyRecords([]platform.Record{record("a", "{}"), record("b", "{}"), record("c", "{}"), record("c", "")}, 0)
+	o.applyRecords([]platform.Record{record("a", "{}"), record("b", "{}"), record("c", "{}"), record("c", "")})
 	assert.Equal(t, []string{"a", "b"}, o.evacuationView().State.DataCentres())
 	newest := []platform.Record{record("b", "{}"), record("d", "{}")}
-	o.replaceEvacuations(newest)
-	o.applyRecords(newest, 0)
+	o.restore(newest)
 	state := o.evacuationView().State
 	assert.Equal(t, []string{"b", "d"}, state.DataCentres())
 	assert.Equal(t, state, state.Withdraw("a", time.Hour))
--- a/jobnode/operators.go
+++ b/jobnode/operators.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -41,67 +43,84 @@
 	keys        map[string]string // workspace by key
 	waves       map[string]jobs.Wave
 	evacuation  evacuation.View
-	confirmedAt time.Duration // start of the last read that succeeded
-	changed     chan struct{} // closed and replaced when new records are read
+	confirmedAt time.Duration    // start of the last read that reached the end of the log
+	offsets     map[string]int64 // of the newest record of each key
+	changed     chan struct{}    // closed and replaced when new records are read
 }
 
 func newOperatorFollower(store *platform.StoreClient, bounds Bounds, log zerolog.Logger) *operatorFollower {
-	return &operatorFollower{store: store, revokeWithin: bounds.RevokeWithin, evacuate: evacuation.Bound(bounds.Evacuate), log: log, reads: dependencyLog{name: "operators' records", log: log}, waves: map[string]jobs.Wave{}, changed: make(chan struct{})}
+	return &operatorFollower{store: store, revokeWithin: bounds.RevokeWithin, evacuate: evacuation.Bound(bounds.Evacuate), log: log, reads: dependencyLog{name: "operators' records", log: log}, waves: map[string]jobs.Wave{}, offsets: map[string]int64{}, changed: make(chan struct{})}
 }
 
 // Run follows the operators' topic until ctx ends.
 func (o *operatorFollower) Run(ctx context.Context) error {
-	from := int64(-1)
-	failed := false
+	from, caughtUp := int64(-1), false
 	for ctx.Err() == nil {
 		wait := o.evacuate.ReadWait(operatorReadWait)
-		if failed && o.evacuate > 0 {
-			wait = 0 // no task may start before the view is recent again
+		if !caughtUp {
+			wait = 0 // neither calls nor tasks are accepted before the view is recent again
 		}
 		sent := boottime.Now()
-		records, next, behind, err := o.read(ctx, from, wait)
-		failed = err != nil
+		var err error
+		from, caughtUp, err = o.step(ctx, from, wait, sent)
 		o.reads.report(err)
 		if err != nil {
-			if errors.Is(err, platform.ErrRecordsDeleted) {
-				next = -1
-			}
-			from = next
 			sleep(ctx, storeRetryDelay)
-			continue
-		}
-		if from < 0 {
-			o.replaceEvacuations(records)
-		}
-		o.applyRecords(records, sent)
-		if !behind {
-			o.confirmEvacuations(upToDateAt(sent, wait, boottime.Now(), next == from))
 		}
-		from = next
 	}
 	return nil
 }
 
-// read reads from an offset, or the latest record of each key if the offset is below 0. It reports whether there are more records to read.
-func (o *operatorFollower) read(ctx context.Context, from int64, wait time.Duration) (records []platform.Record, next int64, behind bool, err error) {
+// step reads and applies the records from an offset on, or the newest record of each key if the offset is below 0. It returns where to continue, and whether
+// it has reached the end of the log: only then the view is known to have everything that was stored before the read was sent.
+func (o *operatorFollower) step(ctx context.Context, from int64, wait, sent time.Duration) (next int64, caughtUp bool, err error) {
 	if from < 0 {
-		records, next, err := o.store.LatestByKey(ctx, platform.TopicOperators)
+		records, end, err := o.store.LatestByKey(ctx, platform.TopicOperators)
 		if err != nil {
-			return nil, -1, false, err
+			return -1, false, err
 		}
-		return records, next, false, nil
+		o.restore(records)
+		return end, false, nil
 	}
 	page, err := o.store.Read(ctx, platform.TopicOperators, from, wait, platform.MaxPageKB)
+	if errors.Is(err, platform.ErrRecordsDeleted) {
+		return -1, false, err
+	}
 	if err != nil {
-		return nil, from, false, err
+		return from, false, err
+	}
+	o.applyRecords(page.Records)
+	if page.Next < page.End {
+		return page.Next, false, nil
 	}
-	return page.Records, page.Next, page.Next < page.End, nil
+	o.confirm(sent, upToDateAt(sent, wait, boottime.Now(), page.Next == from))
+	return page.Next, true, nil
 }
 
-func (o *operatorFollower) applyRecords(records []platform.Record, sent time.Duration) {
+// restore applies the newest record of each key. Requests that aren't among them were withdrawn.
+func (o *operatorFollower) restore(records []platform.Record) {
+	o.replaceEvacuations(records)
+	o.replaceWaves(records)
+	o.applyRecords(records)
+}
+
+// confirm records that the view has everything that was stored before a read was sent, and all requests to evacuate data centres that were stored before
+// another time.
+func (o *operatorFollower) confirm(sent, evacuations time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.confirmedAt, o.evacuation.ConfirmedAt = sent, evacuations
+}
+
+// applyRecords applies records in their order, without those that are older than a record of the same key which is known.
+func (o *operatorFollower) applyRecords(records []platform.Record) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, r := range records {
+		if newer, known := o.offsets[r.Key]; known && newer > r.Offset {
+			continue
+		}
+		o.offsets[r.Key] = r.Offset
 		switch {
 		case r.Key == platform.KeyConfiguration && len(r.Value) > 0:
 			o.applyConfiguration(r.Value)
@@ -111,7 +130,6 @@
 			o.applyEvacuation(r)
 		}
 	}
-	o.confirmedAt = sent
 	if len(records) > 0 {
 		close(o.changed)
 		o.changed = make(chan struct{})
@@ -153,6 +171,15 @@
 	o.waves[r.Key] = w
 }
 
+// replaceWaves removes the waves that aren't among the newest records of all keys: their removal wasn't read.
+func (o *operatorFollower) replaceWaves(records []platform.Record) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	maps.DeleteFunc(o.waves, func(key string, _ jobs.Wave) bool {
+		return !slices.ContainsFunc(records, func(r platform.Record) bool { return r.Key == key && len(r.Value) > 0 })
+	})
+}
+
 // operatorView is the configuration and the keys as this node knows them.
 type operatorView struct {
 	config *jobs.Configuration
