Ask for permission when an order that ends tasks is sent

Cause: the budget was asked for when the order was decided. The platform gave no answer, and the order was repeated as it was 5 s later.

A repetition now asks again, and every order for a machine asks once more right before it is sent, since its announcement is stored in between. A repetition that isn't permitted waits, and its machine counts as down; an order that was never sent is decided again. Moves end nothing that has begun since they were decided, and the stop that relocates a long-running task asks again when it is sent or repeated.

The new tests of packages upkeep, dispatch and jobnode fail to compile or fail without the change.

--- a/dispatch/availability.go
+++ b/dispatch/availability.go
@@ -87,7 +87,7 @@
 	}
 	for st, runs := range byStep {
 		if len(runs) > max(st.spec.MissBudget, 1) && c.mayInterruptOne(runs[0]) && runs[0].state == runActive {
-			c.stop(runs[0])
+			c.relocate(runs[0])
 		}
 	}
 }
@@ -141,6 +141,46 @@
 	}
 }
 
+// MarkUnsent records that the order for a server's machine, which MarkTerminating announced, wasn't sent. The server stays cordoned.
+func (c *Core) MarkUnsent(server string) {
+	if s := c.servers[server]; s != nil {
+		s.terminating = false
+	}
+}
+
+// MayMove reports whether the machine of a server may move to another pool: nothing runs there.
+func (c *Core) MayMove(server string) bool {
+	s := c.servers[server]
+	return s == nil || len(s.runs) == 0 && c.MayTerminate(server)
+}
+
+// mayStopAgain reports whether the stop of a run that is listed may be sent again. The tasks of its step may have become unavailable since the stop was
+// decided, so a long-running task that is serving must be allowed to end now.
+func (c *Core) mayStopAgain(r *run) bool {
+	st, j := r.task.step, r.task.step.occurrence.job
+	return !st.spec.LongRunning || st.spec.Gang || j.cancelled || j.failed || r.percent < servingPercent || c.mayInterruptOne(r)
+}
+
+// MaySendStop reports whether a stop that was decided may be sent now. If it may not, the run goes on as if the stop hadn't been decided.
+func (c *Core) MaySendStop(server, task string, attempt int64) bool {
+	r := c.findRun(server, task, attempt)
+	if r == nil || !r.relocating || c.soleDispatcher && c.mayInterruptOne(r) {
+		return true
+	}
+	c.count("relocation_not_sent")
+	r.relocating = false
+	if r.state == runStopping {
+		r.state, r.stopSent = runActive, false
+	}
+	return false
+}
+
+// relocate stops a long-running task that is serving, so that it starts on another server.
+func (c *Core) relocate(r *run) {
+	r.relocating = true
+	c.stop(r)
+}
+
 // ServerTerminated records that a server has been terminated, which ended all of its runs.
 func (c *Core) ServerTerminated(server string) {
 	if s := c.servers[server]; s != nil {
--- a/dispatch/evacuation.go
+++ b/dispatch/evacuation.go
@@ -67,7 +67,7 @@
 			st := r.task.step
 			if st.spec.LongRunning && !st.spec.Gang && r.state == runActive && c.mayInterruptOne(r) && c.hasPlace(r.task) {
 				c.count("task_relocated")
-				c.stop(r)
+				c.relocate(r)
 			}
 		}
 	}
--- a/dispatch/latecalls_test.go
+++ b/dispatch/latecalls_test.go
@@ -33,7 +33,9 @@
 		switch {
 		case s == nil || !s.up || s.info.BornMS != d.received && !sim.mayOutliveRestart(s, d):
 		case d.order.Start != nil || d.order.Stop != nil || d.order.Pace != nil:
+			sim.heldUp = true
 			sim.execute(d.order)
+			sim.heldUp = false
 		case d.renewal.Fence >= s.fence:
 			s.fence = d.renewal.Fence
 			sim.executeRenewal(s, d.renewal)
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -241,7 +241,7 @@
 	case runActive:
 		c.stopStalled(r)
 	case runStopping:
-		if c.now >= r.stopRetryAt && (!r.stopConfirmed || r.confirmedAt < sent) {
+		if c.now >= r.stopRetryAt && (!r.stopConfirmed || r.confirmedAt < sent) && c.mayStopAgain(r) {
 			c.stop(r)
 		}
 	}
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -121,6 +121,8 @@
 	longPolls        map[string]*longPoll             // outstanding renewals by server, if renewals wait for ends and may be lost; otherwise nil
 	endDelays        []time.Duration                  // from the end of each run to its report
 	onStart          func(s *fakeServer, task string) // if set, called for each start that a server carries out
+	onStop           func(s *fakeServer, task string) // if set, called for each run that a stop ends, before its end
+	heldUp           bool                             // the order that is carried out is late
 	violations       []string
 	starts           int
 	begun            map[string]bool // jobs of which a task has started
@@ -163,6 +165,10 @@
 // takeOver replaces the dispatcher, which loses everything that it had not stored.
 func (sim *simulation) takeOver() {
 	sim.unstored = nil
+	for _, id := range sortedKeys(sim.longPolls) { // nobody reads their answers
+		sim.delay(Order{Server: sim.longPolls[id].renewal.Server}, sim.longPolls[id].renewal)
+	}
+	clear(sim.longPolls)
 	sim.epoch = sim.ledger.Dispatcher.Epoch + 1
 	sim.apply([]ledger.Record{ledger.DispatcherRecord(ledger.Dispatcher{Epoch: sim.epoch, Incarnation: fmt.Sprint(sim.epoch)})})
 	sim.core = New(Params{Epoch: sim.epoch, Lease: testLease, MaxLease: testMaxLease, PredecessorsUntil: sim.now + testSilence, ServerSeenAt: maps.Clone(sim.serverSeenAt)}, sim.ledger, sim.config, sim.now, sim.wall())
@@ -371,6 +377,9 @@
 // send executes the orders of a dispatcher, loses them, or delays them.
 func (sim *simulation) send(c *Core) {
 	for _, o := range c.TakeOrders() {
+		if o.Stop != nil && !c.MaySendStop(o.Server.ID, o.Stop.Task, o.Stop.Attempt) {
+			continue
+		}
 		s := sim.servers[o.Server.ID]
 		reached := s != nil && s.up && (c == sim.core && !s.cutOff || c == sim.predecessor && s.behindCut)
 		if reached && sim.rng.Float64() >= sim.lossRate && (o.Start == nil || !sim.losesStarts) {
@@ -433,6 +442,9 @@
 		sim.forgetStarts(s, *o.Stop)
 		s.lastAttempt[o.Stop.Task] = max(s.lastAttempt[o.Stop.Task], o.Stop.Attempt)
 		if r := s.runs[o.Stop.Task]; r != nil && r.attempt <= o.Stop.Attempt {
+			if sim.onStop != nil {
+				sim.onStop(s, o.Stop.Task)
+			}
 			s.end(sim.now, o.Stop.Task, jobs.EndStopped)
 		}
 	}
--- a/jobnode/machines.go
+++ b/jobnode/machines.go
@@ -110,16 +110,21 @@
 // announce stores in the ledger that this dispatcher orders machines, and returns the machines that it may order. A machine that a predecessor has
 // ordered recently has to wait, because two dispatchers must not order one machine in quick succession. An append of this dispatcher that the store
 // accepts precedes every record of a successor, so the orders needn't wait until the ledger has been read up to it.
-func (mc *machineController) announce(machines []string) map[string]bool {
-	order := ledger.MachineOrder{Epoch: mc.role.Epoch, AtMS: time.Now().UnixMilli()}
+func (mc *machineController) announce(moves []autoscale.Move, orders []upkeep.Action) map[string]bool {
 	var records []ledger.Record
-	announced, now := map[string]bool{}, boottime.Now()
-	for _, machine := range machines {
+	announced, now, atMS := map[string]bool{}, boottime.Now(), time.Now().UnixMilli()
+	add := func(machine string) {
 		if mc.handoverElapsed(machine, now) {
 			announced[machine] = true
-			records = append(records, ledger.MachineRecord(machine, order))
+			records = append(records, ledger.MachineRecord(machine, ledger.MachineOrder{Epoch: mc.role.Epoch, AtMS: atMS}))
 		}
 	}
+	for _, m := range moves {
+		add(m.Machine)
+	}
+	for _, a := range orders {
+		add(a.Machine)
+	}
 	if len(records) == 0 || mc.storeForNode(records) != PutStored {
 		return nil
 	}
@@ -148,11 +153,11 @@
 	return o, ok
 }
 
-// storedWave returns the machines of a wave whose upkeep has begun, according to the ledger.
-func (d *dispatcher) storedWave(number int64) []string {
+// storedWave returns what former dispatchers have stored about a wave.
+func (d *dispatcher) storedWave(number int64) upkeep.Stored {
 	d.follower.mu.Lock()
 	defer d.follower.mu.Unlock()
-	return d.follower.ledger.Waves[strconv.FormatInt(number, 10)]
+	return upkeep.Stored{Started: d.follower.ledger.Waves[strconv.FormatInt(number, 10)]}
 }
 
 // listMachines reads the machine list. It records the servers of machines whose order has taken effect as terminated.
@@ -193,17 +198,15 @@
 	if !ok {
 		return
 	}
-	orders := mc.upkeepPlanner.UnansweredOrders(boottime.Now(), orderRetryDelay)
 	servers := make(map[string]string, len(machines))
 	for _, m := range machines {
 		servers[m.ID] = m.Server
 	}
-	moves := make([]autoscale.Move, 0, len(mc.unansweredMoves))
-	for _, m := range mc.unansweredMoves {
-		moves = append(moves, m)
-	}
-	budget := mc.orderBudget() - len(orders) - len(moves)
+	var orders []upkeep.Action
+	var moves []autoscale.Move
 	mc.update(func(c *dispatch.Core) {
+		orders, moves = mc.upkeepPlanner.UnansweredOrders(boottime.Now(), orderRetryDelay, machines, c), mc.movesToRepeat(c, machines)
+		budget := mc.orderBudget() - len(orders) - len(moves)
 		c.SetUpkeepDue(mc.upkeepPlanner.DueServers(machines))
 		mc.upkeepPlanner.SetEvacuated(c.Evacuated)
 		planned := mc.planMoves(c, machines, servers, moveBudget(budget, mc.upkeepPlanner.HasOpenWaves()))
@@ -214,6 +217,41 @@
 	mc.reportUse()
 }
 
+// movesToRepeat returns the moves without an answer that may be sent again now. Those that the list shows as done are forgotten, as are those of machines that
+// have got a long-running task since.
+func (mc *machineController) movesToRepeat(c *dispatch.Core, machines []jobs.Machine) []autoscale.Move {
+	var moves []autoscale.Move
+	listed := make(map[string]jobs.Machine, len(machines))
+	for _, m := range machines {
+		listed[m.ID] = m
+	}
+	for id, move := range mc.unansweredMoves {
+		m, present := listed[id]
+		switch {
+		case !present, m.Pool == move.To && m.Up:
+			delete(mc.unansweredMoves, id)
+		case m.Up && c.LongRunningTaskCount(m.Server) > 0:
+			delete(mc.unansweredMoves, id)
+			mc.autoscaler.Forget(id)
+			c.Cordon(m.Server, false)
+		default:
+			c.MarkTerminating(m.Server)
+			if c.MayMove(m.Server) {
+				moves = append(moves, move)
+			}
+		}
+	}
+	return moves
+}
+
+// permits reports whether the core, at the current time, permits an order that was decided before.
+func (d *dispatcher) permits(permission func(c *dispatch.Core) bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.advanceClock()
+	return permission(d.core)
+}
+
 // reportUse tells operators how the machines of the pools spend their time.
 func (mc *machineController) reportUse() {
 	now := boottime.Now()
@@ -229,25 +267,19 @@
 	}
 }
 
-// sendMachineOrders sends moves and upkeep orders, once the ledger shows that this dispatcher orders those machines.
+// sendMachineOrders sends moves and upkeep orders, once the ledger shows that this dispatcher orders those machines. Whether an order may end what runs on its
+// machine is asked again when it is sent, since storing the record takes a while.
 func (mc *machineController) sendMachineOrders(ctx context.Context, moves []autoscale.Move, orders []upkeep.Action, servers map[string]string) {
-	var machines []string
-	for _, m := range moves {
-		machines = append(machines, m.Machine)
-	}
-	for _, a := range orders {
-		machines = append(machines, a.Machine)
-	}
-	if len(machines) == 0 {
+	if len(moves)+len(orders) == 0 {
 		return
 	}
 	startedAt := boottime.Now()
-	announced := mc.announce(machines)
+	announced := mc.announce(moves, orders)
 	// Without a limit on concurrent orders, one that waited for a free connection could go out when a successor may already have ordered the
 	// machine.
 	slots := make(chan struct{}, platform.MaxMachineOrders)
-	allowed := func(machine string) bool {
-		return announced[machine] && boottime.Now()-startedAt < handoverMargin && mc.holdsRole()
+	allowed := func(machine string, permission func(c *dispatch.Core) bool) bool {
+		return announced[machine] && boottime.Now()-startedAt < handoverMargin && mc.holdsRole() && mc.permits(permission)
 	}
 	var wg sync.WaitGroup
 	run := func(call func()) {
@@ -258,10 +290,15 @@
 		})
 	}
 	for _, m := range moves {
-		run(func() { mc.orderMove(ctx, m, servers[m.Machine], allowed(m.Machine)) })
+		server := servers[m.Machine]
+		run(func() {
+			mc.orderMove(ctx, m, server, allowed(m.Machine, func(c *dispatch.Core) bool { return c.MayMove(server) }))
+		})
 	}
 	for _, a := range orders {
-		run(func() { mc.orderUpkeep(ctx, a, allowed(a.Machine)) })
+		run(func() {
+			mc.orderUpkeep(ctx, a, allowed(a.Machine, func(c *dispatch.Core) bool { return c.MayTerminate(a.Server) }))
+		})
 	}
 	wg.Wait()
 }
@@ -409,10 +446,14 @@
 	return out
 }
 
-// orderMove sends a move order if allowed. A move that isn't allowed or is refused is planned again; an unanswered one is repeated.
+// orderMove sends a move order if allowed. A move that isn't allowed or is refused is planned again; an unanswered one is repeated, later if it isn't allowed
+// now.
 func (mc *machineController) orderMove(ctx context.Context, m autoscale.Move, server string, allowed bool) {
 	result := platform.OrderRefused
-	if allowed {
+	switch {
+	case !allowed && mc.isUnanswered(m.Machine):
+		return
+	case allowed:
 		result = mc.node.machines.Move(ctx, mc.node.settings.Name, mc.role.Epoch, m.Machine, m.To)
 	}
 	events.Log(mc.log, events.MoveOrdered, m.Machine, server, m.From, m.To, int(result))
@@ -435,6 +476,14 @@
 	}
 }
 
+// isUnanswered reports whether a move of a machine was sent and has had no answer.
+func (mc *machineController) isUnanswered(machine string) bool {
+	mc.mu.Lock()
+	defer mc.mu.Unlock()
+	_, unanswered := mc.unansweredMoves[machine]
+	return unanswered
+}
+
 // holdsRole reports whether this node is certainly the only dispatcher. Machine orders aren't sent in the order grace after the role lease.
 func (d *dispatcher) holdsRole() bool {
 	d.mu.Lock()
@@ -442,12 +491,14 @@
 	return boottime.Now()-d.renewedAt < roleLease
 }
 
-// orderUpkeep sends an upkeep order if allowed. Upkeep that isn't allowed or is refused is planned again; an unanswered order is repeated.
+// orderUpkeep sends an upkeep order if allowed. One that isn't allowed is decided again, and one that is refused is planned again. An unanswered one is
+// repeated, later if it isn't allowed now.
 func (mc *machineController) orderUpkeep(ctx context.Context, a upkeep.Action, allowed bool) {
-	result := platform.OrderRefused
-	if allowed {
-		result = mc.node.machines.Upkeep(ctx, mc.node.settings.Name, mc.role.Epoch, a.Machine, a.Wave)
+	if !allowed {
+		mc.keepFromSending(a)
+		return
 	}
+	result := mc.node.machines.Upkeep(ctx, mc.node.settings.Name, mc.role.Epoch, a.Machine, a.Wave)
 	events.Log(mc.log, events.UpkeepOrdered, a.Machine, a.Server, a.Wave, int(result))
 	mc.mu.Lock()
 	defer mc.mu.Unlock()
@@ -468,6 +519,17 @@
 	}
 }
 
+// keepFromSending records that an upkeep order wasn't sent. One that was sent before may have been carried out and stays as it is.
+func (mc *machineController) keepFromSending(a upkeep.Action) {
+	if a.Repeated {
+		return
+	}
+	mc.mu.Lock()
+	defer mc.mu.Unlock()
+	mc.upkeepPlanner.MarkUnsent(a.Wave, a.Machine)
+	mc.update(func(c *dispatch.Core) { c.MarkUnsent(a.Server) })
+}
+
 // reportWaves tells operators about the progress of the waves.
 func (mc *machineController) reportWaves(ctx context.Context) {
 	complete := map[int64]bool{}
--- a/jobnode/machines_test.go
+++ b/jobnode/machines_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"example.org/comfreyrouter/autoscale"
 	"example.org/comfreyrouter/dispatch"
@@ -162,3 +163,46 @@
 	assert.Less(t, calls.Load(), int64(60))
 	assert.Len(t, mc.terminating, 0, "these machines have no server")
 }
+
+// TestMachineOrdersNeedPermissionWhenTheyAreSent guards against orders that end what has begun on a machine since they were decided, and against an order that
+// counts as refused, though it may have been carried out, because it may not be repeated yet.
+func TestMachineOrdersNeedPermissionWhenTheyAreSent(t *testing.T) {
+	t.Parallel()
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+	defer server.Close()
+	mc := newTestController(t, server.Listener.Addr().String())
+	stored := ledger.New() // a former dispatcher may have started tasks on the server
+	_, _, err := stored.Apply(ledger.ServerRecord("busy", ledger.Server{Service: "pool", Address: "127.0.0.1:1", BornMS: 1, Machine: "m0"}), 0)
+	require.NoError(t, err)
+	mc.dispatcher.mu.Lock()
+	mc.core = dispatch.New(dispatch.Params{Epoch: 2}, stored, &jobs.Configuration{}, boottime.Now(), 0)
+	mc.dispatcher.mu.Unlock()
+	mc.upkeepPlanner.AddWaves([]jobs.Wave{{Number: 1, Machines: []string{"m0"}, DurationS: 20, MaxConcurrent: 1}}, func(int64) upkeep.Stored { return upkeep.Stored{} })
+	assert.Empty(t, mc.planUpkeep(mc.core, []jobs.Machine{{ID: "m0", Pool: "a", Server: "busy", Up: true}}, 1), "it is only cordoned")
+	first := upkeep.Action{Wave: 1, Machine: "m0", Server: "busy"}
+	repeated := first
+	repeated.Repeated = true
+	move := autoscale.Move{Machine: "m1", From: "a", To: "b"}
+	mc.unansweredMoves["m1"] = move
+	mc.sendMachineOrders(t.Context(), []autoscale.Move{move}, []upkeep.Action{repeated}, map[string]string{"m1": "busy"})
+	assert.Zero(t, calls.Load())
+	assert.Contains(t, mc.unansweredMoves, "m1")
+	assert.True(t, mc.upkeepPlanner.InProgress("m0"), "it counts as down")
+	mc.sendMachineOrders(t.Context(), nil, []upkeep.Action{first}, nil)
+	assert.Zero(t, calls.Load())
+	mc.sendMachineOrders(t.Context(), []autoscale.Move{move}, []upkeep.Action{{Wave: 1, Machine: "m0", Server: "gone"}}, map[string]string{"m1": "gone"})
+	assert.EqualValues(t, 2, calls.Load())
+}
+
+// TestUnansweredMovesEndNoTasks guards against the repetition of a move that would end the tasks of a server which its machine has got since, and against a machine that
+// is neither moved nor used.
+func TestUnansweredMovesEndNoTasks(t *testing.T) {
+	mc := newTestController(t, "")
+	mc.unansweredMoves = map[string]autoscale.Move{"gone": {Machine: "gone", To: "b"}, "done": {Machine: "done", To: "b"}, "empty": {Machine: "empty", To: "b"}}
+	machines := []jobs.Machine{{ID: "done", Pool: "b", Up: true}, {ID: "empty", Pool: "a", Server: "s", Up: true}}
+	mc.dispatcher.mu.Lock()
+	defer mc.dispatcher.mu.Unlock()
+	assert.Equal(t, []autoscale.Move{{Machine: "empty", To: "b"}}, mc.movesToRepeat(mc.core, machines))
+	assert.Len(t, mc.unansweredMoves, 1)
+}
--- a/jobnode/orders.go
+++ b/jobnode/orders.go
@@ -40,6 +40,9 @@
 			d.wakeUp()
 		}
 	case o.Stop != nil:
+		if !d.permits(func(c *dispatch.Core) bool { return c.MaySendStop(o.Server.ID, o.Stop.Task, o.Stop.Attempt) }) {
+			return
+		}
 		ok := d.servers.Stop(ctx, o.Server, o.Stop.Task, o.Stop.Attempt, o.Stop.Fence)
 		d.update(func(c *dispatch.Core) { c.StopAnswered(o.Server, o.Stop.Task, o.Stop.Attempt, ok) })
 	case o.Pace != nil:
--- a/upkeep/upkeep.go
+++ b/upkeep/upkeep.go
@@ -39,6 +39,8 @@
 	Machine string
 	Server  string
 	Cordon  bool // cordon the server; otherwise order the upkeep
+	// Repeated says that the order has been sent before and has had no answer, so that it may have been carried out, or may still be.
+	Repeated bool
 }
 
 // A wave drains at most one in drainDivisor machines of a pool at the same time (but at least one machine), and one in urgentDrainDivisor once the
@@ -52,10 +54,10 @@
 // machineState is the state of a machine that is drained for its upkeep, or down for it.
 type machineState struct {
 	cordonedAt time.Duration
-	ordered    bool // the upkeep was ordered; otherwise the server is being drained
-	orderedAt  time.Duration
-	accepted   bool   // the platform has accepted the order
-	server     string // the server that ends with the order
+	ordered    bool          // the upkeep was ordered, by a former dispatcher maybe; otherwise the server is being drained
+	orderedAt  time.Duration // when the order was last decided
+	accepted   bool          // the platform has accepted the order
+	server     string        // the server that is drained, and ends with the order
 }
 
 // wave is the state of one wave.
@@ -82,15 +84,20 @@
 // SetEvacuated sets the function that says which data centres are evacuated. Their machines are no capacity that a wave has to spare, so they go first.
 func (p *Planner) SetEvacuated(evacuated func(dataCentre string) bool) { p.evacuated = evacuated }
 
-// AddWaves adds the waves that operators have requested and the planner doesn't know yet. The function stored returns the machines that are stored
-// as started for a wave.
-func (p *Planner) AddWaves(waves []jobs.Wave, stored func(number int64) []string) {
+// Stored is what former dispatchers have stored about a wave.
+type Stored struct {
+	Started []string // machines whose upkeep has begun
+}
+
+// AddWaves adds the waves that operators have requested and the planner doesn't know yet. The function stored returns what is stored about a wave.
+func (p *Planner) AddWaves(waves []jobs.Wave, stored func(number int64) Stored) {
 	for _, request := range waves {
 		if p.waves[request.Number] != nil {
 			continue
 		}
 		w := &wave{request: request, started: map[string]bool{}, inProgress: map[string]*machineState{}}
-		for _, machine := range stored(request.Number) {
+		known := stored(request.Number)
+		for _, machine := range known.Started {
 			w.started[machine] = true
 		}
 		p.waves[request.Number] = w
@@ -226,7 +233,7 @@
 		state := w.inProgress[id]
 		server := machines[id].Server
 		dispatcher.RelocateExcessTasks(server)
-		if dispatcher.ShortTaskCount(server) > 0 && now-state.cordonedAt < drainPeriod || !dispatcher.MayTerminate(server) {
+		if !state.mayEnd(now, server, dispatcher) {
 			continue
 		}
 		state.ordered, state.orderedAt, state.server = true, now, server
@@ -236,6 +243,11 @@
 	return orders
 }
 
+// mayEnd reports whether the server of a machine may end now: its short tasks have ended, or had time to, and the budgets allow it.
+func (s *machineState) mayEnd(now time.Duration, server string, dispatcher Dispatcher) bool {
+	return (dispatcher.ShortTaskCount(server) == 0 || now-s.cordonedAt >= drainPeriod) && dispatcher.MayTerminate(server)
+}
+
 // draining returns the machines whose servers are being drained, those with the most long-running tasks first.
 func (w *wave) draining(machines map[string]jobs.Machine, dispatcher Dispatcher) []string {
 	var ids []string
@@ -340,6 +352,13 @@
 	}
 }
 
+// MarkUnsent records that an order wasn't sent. The server stays cordoned, and the order is decided again.
+func (p *Planner) MarkUnsent(wave int64, machine string) {
+	if w := p.waves[wave]; w != nil && w.inProgress[machine] != nil {
+		w.inProgress[machine].ordered = false
+	}
+}
+
 // MarkRefused records that an order had no effect, so that the upkeep of the machine is planned again.
 func (p *Planner) MarkRefused(wave int64, machine string) {
 	if w := p.waves[wave]; w != nil {
@@ -367,15 +386,33 @@
 	return due
 }
 
-// UnansweredOrders returns the orders that have had no answer for longer than a timeout and have to be repeated.
-func (p *Planner) UnansweredOrders(now, timeout time.Duration) []Action {
+// UnansweredOrders returns the orders that have had no answer for longer than a timeout and have to be repeated. One that would end tasks which the budgets
+// don't allow to end now waits: they may have changed since it was decided, or the machine may have another server by now.
+func (p *Planner) UnansweredOrders(now, timeout time.Duration, listed []jobs.Machine, dispatcher Dispatcher) []Action {
+	machines := make(map[string]jobs.Machine, len(listed))
+	for _, m := range listed {
+		machines[m.ID] = m
+	}
 	var actions []Action
 	for _, number := range p.waveNumbers() {
 		w := p.waves[number]
 		for _, id := range w.request.Machines {
-			if state := w.inProgress[id]; state != nil && state.ordered && !state.accepted && now-state.orderedAt > timeout {
-				actions = append(actions, Action{Wave: number, Machine: id, Server: state.server})
+			state := w.inProgress[id]
+			if state == nil || !state.ordered || state.accepted {
+				continue
+			}
+			m := machines[id]
+			if m.Up {
+				if m.Server != state.server {
+					state.server, state.cordonedAt = m.Server, now
+				}
+				dispatcher.MarkTerminating(state.server)
+			}
+			if now-state.orderedAt <= timeout || m.Up && !state.mayEnd(now, state.server, dispatcher) {
+				continue
 			}
+			state.orderedAt = now
+			actions = append(actions, Action{Wave: number, Machine: id, Server: state.server, Repeated: true})
 		}
 	}
 	return actions
