Keep a run whose start was carried out late

Cause: a start without an answer was stopped when its server didn't list it. If the start was carried out late and the stop was lost, the stop was repeated though the task was at work by then and had no other run.

Such a run is kept once the server lists it, unless the server has confirmed the stop: what the stop was for has been settled.

TestLateStartIsKept guards it.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -90,6 +90,7 @@
 	stopRetryAt     time.Duration // when a stop may be sent again
 	stopSent        bool
 	stopConfirmed   bool // the server has confirmed the stop
+	uncertain       bool // it is stopped because nothing is known of its start
 	relocating      bool // it is stopped so that its task starts on another server
 	percent         int
 	progressAt      time.Duration // when percent last rose
--- a/dispatch/permission_test.go
+++ b/dispatch/permission_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"example.org/comfreyrouter/jobs"
 )
 
 // service submits a long-running job with two tasks of which one may be away, and waits until both are serving.
@@ -21,6 +23,26 @@
 	return tasks[0].run, tasks[1].run
 }
 
+// TestLateStartIsKept guards against a long-running task that is stopped once it serves, while too many others of its step are away, because its start had no
+// answer and was carried out late (review/14).
+func TestLateStartIsKept(t *testing.T) {
+	sim := newSimulation(120, 2)
+	sim.run(time.Second)
+	s := sim.loseStart(t, oldJob, longRunningStep())
+	late := sim.lateCalls[0]
+	sim.lateCalls = nil
+	sim.lossRate = 1 // the stop is lost too
+	sim.step()
+	sim.step()
+	sim.lossRate, sim.lateCalls = 0, nil
+	require.Equal(t, jobs.Started, sim.execute(late.order))
+	sim.run(5 * time.Second)
+	assert.Equal(t, 100, s.runs[oldJob+".0.0.0"].percent)
+	assert.Equal(t, runActive, sim.onlyRun(t, oldJob).state)
+	assert.Equal(t, 1, sim.starts)
+	assert.Empty(t, sim.violations)
+}
+
 // TestRelocationIsRepeatedWithinTheBudget guards against a long-running task that is relocated while the other one of its step is away, because the first order to stop
 // it was lost and is repeated.
 func TestRelocationIsRepeatedWithinTheBudget(t *testing.T) {
--- a/dispatch/runs.go
+++ b/dispatch/runs.go
@@ -241,7 +241,14 @@
 	case runActive:
 		c.stopStalled(r)
 	case runStopping:
-		if c.now >= r.stopRetryAt && (!r.stopConfirmed || r.confirmedAt < sent) && c.mayStopAgain(r) {
+		switch {
+		case r.uncertain && !r.stopConfirmed:
+			c.count("late_start_kept")
+			r.state, r.confirmedAt, r.uncertain, r.stopSent = runActive, c.now, false, false
+			if r.activeAt == 0 {
+				r.activeAt = c.now
+			}
+		case c.now >= r.stopRetryAt && (!r.stopConfirmed || r.confirmedAt < sent) && c.mayStopAgain(r):
 			c.stop(r)
 		}
 	}
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -410,6 +410,7 @@
 			c.reportProblem(s, "run_unlisted")
 			c.removeRun(r)
 		case r.state == runUnknown, r.state == runStopping && !r.stopConfirmed:
+			r.uncertain = r.uncertain || r.state == runUnknown
 			c.stop(r) // a delayed start must not take effect
 		}
 	}
