Count upkeep orders of former dispatchers that may still be carried out

Cause: the successor read that the machine had been ordered, but not for which wave, and counted it neither as down nor as begun.

The record of an order names its wave. A successor counts such a machine as down for as long as the order may be carried out, and repeats the order first; the platform refuses the former one by its token from then on.

--- a/jobnode/machines.go
+++ b/jobnode/machines.go
@@ -49,6 +49,8 @@
 	parkingDelay = 4 * time.Second
 	// maxClockSkew bounds the difference between the wall clocks of two machines.
 	maxClockSkew = 2500 * time.Millisecond
+	// maxOrderDelay is the longest time after which the platform carries out an order that got no response.
+	maxOrderDelay = 12 * time.Second
 	// orderRetryDelay is the delay before an unanswered order is repeated.
 	orderRetryDelay = 700 * time.Millisecond
 )
@@ -113,17 +115,17 @@
 func (mc *machineController) announce(moves []autoscale.Move, orders []upkeep.Action) map[string]bool {
 	var records []ledger.Record
 	announced, now, atMS := map[string]bool{}, boottime.Now(), time.Now().UnixMilli()
-	add := func(machine string) {
+	add := func(machine string, wave int64) {
 		if mc.handoverElapsed(machine, now) {
 			announced[machine] = true
-			records = append(records, ledger.MachineRecord(machine, ledger.MachineOrder{Epoch: mc.role.Epoch, AtMS: atMS}))
+			records = append(records, ledger.MachineRecord(machine, ledger.MachineOrder{Epoch: mc.role.Epoch, AtMS: atMS, Wave: wave}))
 		}
 	}
 	for _, m := range moves {
-		add(m.Machine)
+		add(m.Machine, 0)
 	}
 	for _, a := range orders {
-		add(a.Machine)
+		add(a.Machine, a.Wave)
 	}
 	if len(records) == 0 || mc.storeForNode(records) != PutStored {
 		return nil
@@ -157,7 +159,21 @@
 func (d *dispatcher) storedWave(number int64) upkeep.Stored {
 	d.follower.mu.Lock()
 	defer d.follower.mu.Unlock()
-	return upkeep.Stored{Started: d.follower.ledger.Waves[strconv.FormatInt(number, 10)]}
+	stored := upkeep.Stored{Started: d.follower.ledger.Waves[strconv.FormatInt(number, 10)]}
+	for machine, o := range d.follower.ledger.Machines {
+		if o.Wave == number && number != 0 && o.Epoch != d.role.Epoch && d.follower.mayBeCarriedOut(machine, o) {
+			stored.Ordered = append(stored.Ordered, machine)
+		}
+	}
+	return stored
+}
+
+// mayBeCarriedOut reports whether the last order for a machine, which was sent within handoverMargin after its record, may still be carried out. f.mu must
+// be held.
+func (f *follower) mayBeCarriedOut(machine string, o ledger.MachineOrder) bool {
+	const lasts = handoverMargin + maxOrderDelay
+	age := time.Duration(time.Now().UnixMilli()-o.AtMS) * time.Millisecond
+	return boottime.Now()-f.orderSeenAt[machine] <= lasts && age <= lasts+maxClockSkew
 }
 
 // listMachines reads the machine list. It records the servers of machines whose order has taken effect as terminated.
--- a/jobnode/machines_test.go
+++ b/jobnode/machines_test.go
@@ -206,3 +206,19 @@
 	assert.Equal(t, []autoscale.Move{{Machine: "empty", To: "b"}}, mc.movesToRepeat(mc.core, machines))
 	assert.Len(t, mc.unansweredMoves, 1)
 }
+
+// TestOrdersOfFormerDispatchersAreFound guards against an upkeep order of a former dispatcher that its successor doesn't count though it may still be carried out,
+// and against one that counts for ever.
+func TestOrdersOfFormerDispatchersAreFound(t *testing.T) {
+	mc := newTestController(t, "")
+	now := time.Now().UnixMilli()
+	for machine, o := range map[string]ledger.MachineOrder{
+		"ordered": {Epoch: 1, AtMS: now - 5000, Wave: 7}, "own": {Epoch: 2, AtMS: now, Wave: 7}, "moved": {Epoch: 1, AtMS: now}, "other": {Epoch: 1, AtMS: now, Wave: 8},
+		"long ago": {Epoch: 1, AtMS: now - 60_000, Wave: 7}, "read long ago": {Epoch: 1, AtMS: now, Wave: 7},
+	} {
+		mc.follower.ledger.Machines[machine] = o
+		mc.follower.orderSeenAt[machine] = boottime.Now()
+	}
+	mc.follower.orderSeenAt["read long ago"] -= time.Minute
+	assert.Equal(t, []string{"ordered"}, mc.storedWave(7).Ordered)
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -143,7 +143,8 @@
 // MachineOrder records which dispatcher last gave an order for a machine, and when.
 type MachineOrder struct {
 	Epoch int64 `json:"e"`
-	AtMS  int64 `json:"t"` // Unix time
+	AtMS  int64 `json:"t"`           // Unix time
+	Wave  int64 `json:"w,omitempty"` // number of the wave if the order is one of upkeep; 0 for a move
 }
 
 // Server is a backend server to which a dispatcher may have given work.
--- a/upkeep/upkeep.go
+++ b/upkeep/upkeep.go
@@ -87,6 +87,9 @@
 // Stored is what former dispatchers have stored about a wave.
 type Stored struct {
 	Started []string // machines whose upkeep has begun
+	// Ordered are machines whose upkeep was ordered, and maybe not begun yet. They count as down, and the order is repeated: it then begins now or has begun, and
+	// the platform refuses the former one from then on.
+	Ordered []string
 }
 
 // AddWaves adds the waves that operators have requested and the planner doesn't know yet. The function stored returns what is stored about a wave.
@@ -100,6 +103,11 @@
 		for _, machine := range known.Started {
 			w.started[machine] = true
 		}
+		for _, machine := range known.Ordered {
+			if !w.started[machine] && slices.Contains(request.Machines, machine) {
+				w.inProgress[machine] = &machineState{ordered: true}
+			}
+		}
 		p.waves[request.Number] = w
 	}
 }
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -212,3 +212,54 @@
 	assert.Empty(t, p.UnansweredOrders(2*time.Second, time.Second, machines(1), d))
 	assert.Equal(t, []string{"m0"}, orders(p, 2*time.Second, machines(1), d))
 }
+
+// TestOrdersOfFormerDispatchersCount guards against more machines down than a wave allows, because an order of a former dispatcher is carried out late beside those
+// of the present one, and against a wave that waits for such an order for ever.
+func TestOrdersOfFormerDispatchersCount(t *testing.T) {
+	p, d := New(2*time.Second), &fakeDispatcher{mustKeep: map[string]bool{}}
+	p.AddWaves(requestWave(3, 1), func(int64) Stored {
+		return Stored{Started: []string{"m0"}, Ordered: []string{"m0", "m1", "elsewhere"}}
+	})
+	d.mustKeep["s-m1"] = true
+	assert.Empty(t, orders(p, 5*time.Second, machines(3), d), "m1 may be down")
+	assert.Empty(t, p.UnansweredOrders(5*time.Second, time.Second, machines(3), d), "the budgets count for it too")
+	d.mustKeep["s-m1"] = false
+	repeated := p.UnansweredOrders(6*time.Second, time.Second, machines(3), d)
+	require.Len(t, repeated, 1)
+	assert.Equal(t, "m1", repeated[0].Machine)
+	p.MarkAccepted(1, "m1")
+	list := machines(3)
+	list[1].Up, list[1].Phase = false, jobs.MachineInUpkeep
+	assert.Empty(t, orders(p, 7*time.Second, list, d), "it is down")
+	list[1] = upMachine("m1", "pool1", "new")
+	assert.Equal(t, []string{"m2"}, orders(p, 10*time.Second, list, d))
+}
+
+// TestStoredMachinesAreNotOrderedAgain guards against a new dispatcher that drains machines which have already had their upkeep.
+func TestStoredMachinesAreNotOrderedAgain(t *testing.T) {
+	p := New(2 * time.Second)
+	p.AddWaves(requestWave(2, 2), func(int64) Stored { return Stored{Started: []string{"m0"}} })
+	assert.Equal(t, []string{"m1"}, orders(p, 0, machines(2), &fakeDispatcher{}))
+}
+
+// TestEvacuatedMachinesGoFirst guards against a wave that takes capacity from a pool while machines of an evacuated data centre, which have none, wait.
+func TestEvacuatedMachinesGoFirst(t *testing.T) {
+	p := New(2 * time.Second)
+	p.AddWaves(requestWave(24, 24), noneStored)
+	p.SetEvacuated(func(dataCentre string) bool { return dataCentre == "z" })
+	all := machines(24)
+	busy := map[string]int{}
+	for i := range all {
+		busy[all[i].Server] = 1
+		if i >= 12 {
+			all[i].DataCentre = "z"
+		}
+	}
+	var cordoned []string
+	for _, a := range p.Plan(time.Second, all, &fakeDispatcher{shortTasks: busy}, 12) {
+		if a.Cordon {
+			cordoned = append(cordoned, all[slices.IndexFunc(all, func(m jobs.Machine) bool { return m.ID == a.Machine })].DataCentre)
+		}
+	}
+	assert.Equal(t, append(slices.Repeat([]string{"z"}, 12), "", "", ""), cordoned, "and one of each pool")
+}
