Order the upkeep of a machine in one wave at a time

Cause: two waves had one machine and ordered it in the same round. The platform refused the second order, and the refusal took back that the machine's server was about to end, so its tasks counted as serving.

A machine that is ordered in one wave isn't ordered in another one, a refusal takes nothing back while an accepted order hasn't shown in the list, and a machine that comes back from another wave is drained anew.

--- a/jobnode/machines.go
+++ b/jobnode/machines.go
@@ -531,7 +531,9 @@
 		mc.fenced = true
 	case platform.OrderBusy, platform.OrderRefused, platform.OrderUnavailable:
 		mc.upkeepPlanner.MarkRefused(a.Wave, a.Machine)
-		mc.update(func(c *dispatch.Core) { c.Cordon(a.Server, false) })
+		if _, ends := mc.terminating[a.Machine]; !ends {
+			mc.update(func(c *dispatch.Core) { c.Cordon(a.Server, false) })
+		}
 	}
 }
 
--- a/upkeep/upkeep.go
+++ b/upkeep/upkeep.go
@@ -164,7 +164,7 @@
 		w.removeFinished(now, machines, p.duration)
 		candidates := w.candidates(machines, dispatcher, p.evacuated)
 		for {
-			orders := w.orderUpkeep(now, machines, dispatcher, maxOrders)
+			orders := w.orderUpkeep(now, machines, dispatcher, maxOrders, p.orderedInOther(number))
 			maxOrders -= len(orders)
 			cordoned := w.cordon(now, machines, &candidates, p.evacuated)
 			actions = append(append(actions, orders...), cordoned...)
@@ -176,6 +176,19 @@
 	return actions
 }
 
+// orderedInOther returns the machines whose upkeep is ordered in other waves than the given one. The platform would refuse a second order.
+func (p *Planner) orderedInOther(number int64) map[string]bool {
+	machines := map[string]bool{}
+	for other, w := range p.waves {
+		for id, state := range w.inProgress {
+			if other != number && state.ordered {
+				machines[id] = true
+			}
+		}
+	}
+	return machines
+}
+
 // anyInProgress reports whether a machine is drained or down for a wave.
 func (p *Planner) anyInProgress() bool {
 	for _, w := range p.waves {
@@ -202,7 +215,7 @@
 	for id, state := range w.inProgress {
 		m, present := machines[id]
 		switch {
-		case !present:
+		case !present, !state.ordered && m.Up && m.Server != state.server:
 			delete(w.inProgress, id)
 		case state.accepted && now-state.orderedAt > duration && (m.Up && m.Server != state.server || now-state.orderedAt > duration+returnGrace):
 			delete(w.inProgress, id)
@@ -230,14 +243,17 @@
 	return n
 }
 
-// orderUpkeep orders the upkeep of machines whose servers are empty, or have been drained for long enough.
-func (w *wave) orderUpkeep(now time.Duration, machines map[string]jobs.Machine, dispatcher Dispatcher, limit int) []Action {
+// orderUpkeep orders the upkeep of machines whose servers are empty, or have been drained for long enough, without the excluded ones.
+func (w *wave) orderUpkeep(now time.Duration, machines map[string]jobs.Machine, dispatcher Dispatcher, limit int, excluded map[string]bool) []Action {
 	limit = min(limit, max(w.request.MaxConcurrent, 1)-w.downCount(machines))
 	var orders []Action
 	for _, id := range w.draining(machines, dispatcher) {
 		if len(orders) >= limit {
 			break
 		}
+		if excluded[id] {
+			continue
+		}
 		state := w.inProgress[id]
 		server := machines[id].Server
 		dispatcher.RelocateExcessTasks(server)
@@ -344,7 +360,7 @@
 		if !m.evacuated {
 			allowance[m.Pool]--
 		}
-		w.inProgress[m.ID] = &machineState{cordonedAt: now}
+		w.inProgress[m.ID] = &machineState{cordonedAt: now, server: m.Server}
 		actions = append(actions, Action{Wave: w.request.Number, Machine: m.ID, Server: m.Server, Cordon: true})
 	}
 	return actions
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -263,3 +263,20 @@
 	}
 	assert.Equal(t, append(slices.Repeat([]string{"z"}, 12), "", "", ""), cordoned, "and one of each pool")
 }
+
+// TestMachineIsOrderedInOneWaveAtATime guards against two orders for a machine that is in two waves, of which the platform refuses one, and against a server that ends
+// undrained because its machine has come back from the upkeep of another wave.
+func TestMachineIsOrderedInOneWaveAtATime(t *testing.T) {
+	p, d := New(2*time.Second), &fakeDispatcher{shortTasks: map[string]int{}}
+	second := requestWave(1, 1)[0]
+	second.Number = 2
+	p.AddWaves([]jobs.Wave{requestWave(1, 1)[0], second}, noneStored)
+	require.Len(t, orders(p, 0, machines(1), d), 1)
+	p.MarkAccepted(1, "m0")
+	assert.Empty(t, orders(p, time.Second, machines(1), d), "it is ordered in the first wave")
+	d.shortTasks["new"] = 1
+	list := []jobs.Machine{upMachine("m0", "pool0", "new")}
+	assert.Empty(t, orders(p, 5*time.Second, list, d), "its new server is drained")
+	assert.Empty(t, orders(p, 6*time.Second, list, d))
+	assert.Len(t, orders(p, 5*time.Second+drainPeriod, list, d), 1)
+}
