Play upkeep in the soak, and keep the ports of its servers open

A server keeps its listener for all of its processes now, and a port for another process is looked for while nothing is forked, in the soak and in the tests with crowds.

--- a/internal/hostile/process_test.go
+++ b/internal/hostile/process_test.go
@@ -139,9 +139,12 @@
 
 var portsUsed = os.Getpid()
 
-// freeAddress returns a loopback address at which nothing listens and that it hasn't returned before.
+// freeAddress returns a loopback address at which nothing listens and that it hasn't returned before. No process is forked while it finds out: the child would
+// hold the port until it has begun its program.
 func freeAddress(t *testing.T) string {
 	t.Helper()
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	for range portCount {
 		portsUsed++
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+portsUsed%portCount))
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -72,7 +72,7 @@
 		s.changeCuts(-1)
 	case restartServer:
 		w.restartServer(s, e.lasts)
-	case powerCycleServer:
+	case powerCycleServer, darkenServer:
 		s.mu.Lock()
 		up := s.up
 		s.mu.Unlock()
@@ -94,6 +94,25 @@
 		w.loseOdds.Store(5)
 		time.Sleep(e.lasts)
 		w.loseOdds.Store(0)
+	case requestWave:
+		w.requestWave(e.target)
+	case submitService:
+		load.submitService(e.target)
+	case resetOrders:
+		w.setOrderFault(ordersReset)
+		time.Sleep(e.lasts)
+		w.setOrderFault(ordersAnswered)
+	case delayOrders:
+		w.setOrderFault(ordersLate)
+		time.Sleep(e.lasts)
+		w.setOrderFault(ordersAnswered)
+	case killAfterOrder:
+		w.setOrderFault(ordersLate)
+		w.awaitLateOrder(e.lasts)
+		if d, _ := w.dispatcher(); d != nil {
+			w.restartNode(d, d.kill, 0)
+		}
+		w.setOrderFault(ordersAnswered)
 	case truncateHistory:
 		w.store.TruncateHistory(ledgerTopic)
 	}
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -216,6 +216,17 @@
 	l.submit(c, s)
 }
 
+// submitService submits a long-running job of two tasks on different servers, of which one may be away.
+func (l *load) submitService(n int) {
+	l.mu.Lock()
+	c := newCaller(l.w, rand.New(rand.NewPCG(l.seed, l.rng.Uint64())))
+	s := &submission{id: fmt.Sprintf("%08xffff%04x", uint32(l.seed), l.longRunning), longRunning: true}
+	l.longRunning++
+	l.mu.Unlock()
+	s.steps = []stepSpec{{Count: 2, CPU: 500 + 100*(n%3), MemoryMB: 100, LongRunning: true, AntiAffinity: 1, Misses: 1}}
+	l.submit(c, s)
+}
+
 // submissions returns a copy of all jobs.
 func (l *load) submissions() []submission {
 	l.mu.Lock()
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -32,10 +32,16 @@
 	storeDown         kind = "take the store down"
 	loseAnswers       kind = "lose answers of the store"
 	truncateHistory   kind = "truncate the store's history"
+	requestWave       kind = "request a wave of upkeep"
+	submitService     kind = "submit a service that tolerates one miss"
+	resetOrders       kind = "reset orders for machines"
+	delayOrders       kind = "delay orders for machines"
+	killAfterOrder    kind = "delay an order for a machine, and kill the node that dispatches"
+	darkenServer      kind = "take a server's power for seconds" // longer than its leases last
 )
 
 // planned says which kinds are planned work or part of the load.
-var planned = map[kind]bool{stopNode: true, reloadNode: true, changeConfig: true, cancelJobs: true, submitLongRunning: true}
+var planned = map[kind]bool{stopNode: true, reloadNode: true, changeConfig: true, cancelJobs: true, submitLongRunning: true, requestWave: true, submitService: true}
 
 // event is an event that begins at a time after the start of the load.
 type event struct {
@@ -73,6 +79,17 @@
 	{freezeNode, 1},
 }
 
+// waveWeights are those of plans in which machines have their upkeep in waves.
+var waveWeights = []weight{
+	{requestWave, 4},
+	{submitService, 4},
+	{resetOrders, 5},
+	{delayOrders, 1},
+	{killAfterOrder, 2},
+	{darkenServer, 5},
+	{powerCycleServer, 1},
+}
+
 // allWeights are those of plans with every kind of event. The first phase of a plan has planned work only.
 var allWeights = []weight{
 	{stopNode, 4},
@@ -104,6 +121,8 @@
 	maxLost      = 2                       // servers that are lost for good
 	// maxCut is the longest cut, freeze or outage that the users' sites have.
 	maxCut = 5500 * time.Millisecond
+	// minDark is the shortest time without power that outlasts the leases of a server.
+	minDark = 4500 * time.Millisecond
 	// maxRejected is the longest time for which the store rejects a node.
 	maxRejected = 9 * time.Second
 )
@@ -136,6 +155,9 @@
 			if k == restartServer || k == powerCycleServer {
 				e.lasts /= 4
 			}
+			if k == darkenServer {
+				e.lasts = minDark + time.Duration(rng.Int64N(int64(maxCut-minDark)))
+			}
 			if k == rejectNode {
 				e.lasts = time.Duration(float64(e.lasts) * maxRejected.Seconds() / maxCut.Seconds())
 			}
--- a/internal/soak/server_test.go
+++ b/internal/soak/server_test.go
@@ -40,6 +40,8 @@
 type serverRun struct {
 	span  *span
 	total time.Duration // 0 if it runs until it is stopped
+	// warmUp is how long it takes to be at work, if it runs until it is stopped.
+	warmUp time.Duration
 }
 
 // server is a backend server that keeps leases, one incarnation after another under one id.
@@ -50,6 +52,7 @@
 
 	mu          sync.Mutex
 	incarnation int
+	door        *door // nil before the first incarnation
 	http        *http.Server
 	up, lost    bool
 	dark        bool // it has no power: its connections are silent
@@ -75,18 +78,16 @@
 
 // boot starts a process with its first incarnation.
 func (s *server) boot() error {
-	if s.address == "" {
-		var err error
-		if s.address, err = freeAddress(); err != nil {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.door == nil {
+		l, err := freeListener()
+		if err != nil {
 			return err
 		}
+		s.door, s.address = newDoor(l), l.Addr().String()
 	}
-	l, err := net.Listen("tcp", s.address)
-	if err != nil {
-		return err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	l := s.door.listen()
 	mux := http.NewServeMux()
 	for path, handle := range map[string]func(http.ResponseWriter, *http.Request, order){
 		startPath: s.handleStart, "/run-stop": s.handleStop, holdPath: s.handleHold,
@@ -337,7 +338,7 @@
 	default:
 		sp := &span{task: o.Task, server: s.id, attempt: o.Attempt, from: time.Now()}
 		s.spans = append(s.spans, sp)
-		s.active[o.Task] = &serverRun{sp, step.runTime}
+		s.active[o.Task] = &serverRun{sp, step.runTime, step.warmUp()}
 	}
 	s.extend(o.Deadline)
 	return reason
@@ -385,7 +386,7 @@
 		switch age := time.Since(x.span.from); {
 		case x.total > 0:
 			percent = int(100 * age / x.total)
-		case age < warmUp:
+		case age < x.warmUp:
 			percent = 0
 		}
 		active = append(active, []any{task, x.span.attempt, "", min(percent, 100), 0})
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -77,6 +77,18 @@
 	}
 }
 
+// TestUpkeepSoak guards against the same, and against orders that end too many tasks of a service or exceed the limit of a wave, while machines have their upkeep,
+// orders for machines get no answer, servers fail and dispatchers are killed.
+func TestUpkeepSoak(t *testing.T) {
+	for i := range (*seeds + 1) / 2 {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			soak(t, seed, newPlan(seed, waveWeights, *length, *nodeCount, *servers), shortTasks)
+		})
+	}
+}
+
 // TestRestartedServersAreCutOff guards against the same while half of the servers lose power at once, restart under their ids and are cut off soon after,
 // also with a change of the dispatcher in between. Calls for their former incarnations are carried out by the present ones.
 func TestRestartedServersAreCutOff(t *testing.T) {
@@ -109,6 +121,7 @@
 		}
 	}
 	t.Logf("seed %d: %d of %d jobs accepted, %d runs, %d calls carried out late", seed, accepted, len(l.submissions()), w.countRuns(), w.late.Load())
+	t.Logf("seed %d: %d upkeeps", seed, w.countUpkeeps())
 	t.Logf("seed %d: %d calls of callers on new connections, %d on open ones, %d of these to stopping nodes", seed, w.usage.onNew.Load(), w.usage.onOpen.Load(),
 		w.usage.onOpenWhileStopping.Load())
 	w.mu.Lock()
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -51,6 +52,7 @@
 	loseOdds  atomic.Int32 // one of so many calls to the store loses its answer; 0 for none
 	unplanned activity     // faults, as opposed to planned work
 	usage     usage
+	upkeeps   *upkeeps
 	late      atomic.Int64 // calls that were carried out late
 	mu        sync.Mutex
 	zoneCuts  map[string]int
@@ -75,6 +77,7 @@
 	Affinity     string `json:"affinity,omitempty"`
 	Selector     string `json:"selector,omitempty"`
 	LongRunning  bool   `json:"long_running,omitempty"`
+	Misses       int    `json:"tolerable_misses,omitempty"`
 	runTime      time.Duration
 }
 
@@ -208,10 +211,13 @@
 // startWorld starts the platform, the servers and the nodes, and waits until the nodes are ready.
 func startWorld(dir string, seed uint64, nodes, servers int) (*world, error) {
 	w := &world{
-		dir: dir, seed: seed, store: keyedstore.New(), ended: make(chan struct{}), zoneCuts: map[string]int{}, epochs: map[int64]string{}, steps: map[string][]stepSpec{}, withdrawnAt: map[int]time.Time{}, begun: time.Now(),
+		dir: dir, seed: seed, store: keyedstore.New(), ended: make(chan struct{}), zoneCuts: map[string]int{}, epochs: map[int64]string{}, steps: map[string][]stepSpec{}, withdrawnAt: map[int]time.Time{}, upkeeps: newUpkeeps(seed), begun: time.Now(),
 	}
 	w.configure()
-	machines := w.serve(http.HandlerFunc(w.listMachines))
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /machine-upkeep", w.handleUpkeep)
+	mux.HandleFunc("GET /", w.listMachines)
+	machines := w.serve(mux)
 	for i := range servers {
 		s := newServer(w, i)
 		if err := s.boot(); err != nil {
@@ -255,6 +261,7 @@
 	}
 	for _, s := range w.servers {
 		s.crash()
+		s.door.close()
 	}
 	for _, s := range w.http {
 		s.CloseClientConnections()
@@ -290,12 +297,18 @@
 
 func (w *world) listMachines(rw http.ResponseWriter, _ *http.Request) {
 	rows := []map[string]any{}
+	w.upkeeps.mu.Lock()
+	down := maps.Clone(w.upkeeps.down)
+	w.upkeeps.mu.Unlock()
 	for _, s := range w.servers {
 		s.mu.Lock()
 		phase := "up"
 		if !s.up {
 			phase = "down"
 		}
+		if down[s.machine] != 0 {
+			phase = "upkeep"
+		}
 		if !s.lost {
 			rows = append(rows, map[string]any{
 				"host_machine": s.machine, "pool": "pool", "phase": phase, "zone": s.zone, "labels": s.labels, "room": map[string]int{"cpu": serverCPU, "mem_mb": serverMB}, "id": s.id,
@@ -316,18 +329,28 @@
 
 var portsUsed atomic.Int32
 
-// freeAddress returns a loopback address with a free port that this process hasn't returned before.
-func freeAddress() (string, error) {
+// freeListener listens on a loopback port that this process hasn't used before.
+func freeListener() (net.Listener, error) {
 	first := os.Getpid() % (portCount / portsPerRun) * portsPerRun
 	for range portsPerRun {
 		port := firstPort + (first+int(portsUsed.Add(1)))%portCount
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			return l, nil
 		}
-		return l.Addr().String(), l.Close()
 	}
-	return "", errors.New("no free port found")
+	return nil, errors.New("no free port found")
+}
+
+// freeAddress returns a loopback address with a free port that this process hasn't used before, for another process. No process is forked while it finds out:
+// the child would hold the port until it has begun its program.
+func freeAddress() (string, error) {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	l, err := freeListener()
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
 }
 
 // node is an entry VM: the program comfreyrouter node in a process of its own.
