Count a machine as down although the repetition of its order was refused

Cause: the refusal was taken for the end of both orders.

The machine counts as down, and the order is repeated, until one is accepted or the unanswered one can't be carried out any more (12 s).

--- a/dispatch/upkeep_model_test.go
+++ b/dispatch/upkeep_model_test.go
@@ -22,8 +22,6 @@
 	orderTimeout  = 700 * time.Millisecond
 	// handoverInterval is how long a dispatcher waits before it orders a machine that a former one has ordered.
 	handoverInterval = 3500 * time.Millisecond
-	// maxOrderDelay is the longest time after which the platform carries out an order that it hasn't answered.
-	maxOrderDelay = 12 * time.Second
 )
 
 // upkeepModel is a model whose machines have their upkeep in waves. The platform may leave orders unanswered, and carry them out late.
@@ -231,7 +229,7 @@
 	stored := upkeep.Stored{Started: m.started[number]}
 	for _, id := range sortedKeys(m.platform) {
 		machine := m.platform[id]
-		if machine.announced == number && machine.announcedBy != m.epoch && m.now-machine.announcedAt <= maxOrderDelay+time.Second {
+		if machine.announced == number && machine.announcedBy != m.epoch && m.now-machine.announcedAt <= upkeep.MaxOrderDelay+time.Second {
 			stored.Ordered = append(stored.Ordered, id)
 		}
 	}
@@ -251,15 +249,19 @@
 	machine.announcedBy, machine.announcedAt, machine.announced = m.epoch, m.now, a.Wave
 	switch {
 	case m.silent:
+		m.planner.MarkUnanswered(a.Wave, a.Machine, m.now)
 	case m.rng.Float64() < m.lateRate:
-		m.late = append(m.late, lateUpkeep{m.now + 2*time.Second + time.Duration(m.rng.Int64N(int64(maxOrderDelay-2*time.Second))), a, m.epoch})
+		m.late = append(m.late, lateUpkeep{m.now + 2*time.Second + time.Duration(m.rng.Int64N(int64(upkeep.MaxOrderDelay-2*time.Second))), a, m.epoch})
 		slices.SortStableFunc(m.late, func(a, b lateUpkeep) int { return int(a.at - b.at) })
+		m.planner.MarkUnanswered(a.Wave, a.Machine, m.now)
 	case m.executeUpkeep(a, m.epoch, false):
 		m.planner.MarkAccepted(a.Wave, a.Machine)
 		m.started[a.Wave] = m.planner.StartedMachines(a.Wave)
 	default:
-		m.planner.MarkRefused(a.Wave, a.Machine)
-		m.core.Cordon(a.Server, false)
+		m.planner.MarkRefused(a.Wave, a.Machine, m.now)
+		if !m.planner.InProgress(a.Machine) {
+			m.core.Cordon(a.Server, false)
+		}
 	}
 }
 
--- a/jobnode/machines.go
+++ b/jobnode/machines.go
@@ -49,8 +49,6 @@
 	parkingDelay = 4 * time.Second
 	// maxClockSkew bounds the difference between the wall clocks of two machines.
 	maxClockSkew = 2500 * time.Millisecond
-	// maxOrderDelay is the longest time after which the platform carries out an order that got no response.
-	maxOrderDelay = 12 * time.Second
 	// orderRetryDelay is the delay before an unanswered order is repeated.
 	orderRetryDelay = 700 * time.Millisecond
 )
@@ -171,7 +169,7 @@
 // mayBeCarriedOut reports whether the last order for a machine, which was sent within handoverMargin after its record, may still be carried out. f.mu must
 // be held.
 func (f *follower) mayBeCarriedOut(machine string, o ledger.MachineOrder) bool {
-	const lasts = handoverMargin + maxOrderDelay
+	const lasts = handoverMargin + upkeep.MaxOrderDelay
 	age := time.Duration(time.Now().UnixMilli()-o.AtMS) * time.Millisecond
 	return boottime.Now()-f.orderSeenAt[machine] <= lasts && age <= lasts+maxClockSkew
 }
@@ -527,11 +525,12 @@
 			c.QueueRecord(ledger.WaveRecord(a.Wave, mc.upkeepPlanner.StartedMachines(a.Wave)))
 		})
 	case platform.OrderUnknown:
+		mc.upkeepPlanner.MarkUnanswered(a.Wave, a.Machine, boottime.Now())
 	case platform.OrderFenced:
 		mc.fenced = true
 	case platform.OrderBusy, platform.OrderRefused, platform.OrderUnavailable:
-		mc.upkeepPlanner.MarkRefused(a.Wave, a.Machine)
-		if _, ends := mc.terminating[a.Machine]; !ends {
+		mc.upkeepPlanner.MarkRefused(a.Wave, a.Machine, boottime.Now())
+		if _, ends := mc.terminating[a.Machine]; !ends && !mc.upkeepPlanner.InProgress(a.Machine) {
 			mc.update(func(c *dispatch.Core) { c.Cordon(a.Server, false) })
 		}
 	}
--- a/upkeep/upkeep.go
+++ b/upkeep/upkeep.go
@@ -16,6 +16,8 @@
 	drainPeriod = 2500 * time.Millisecond
 	// returnGrace is how long, beyond the duration of the upkeep, a machine that isn't listed as up again still counts as down.
 	returnGrace = 500 * time.Millisecond
+	// MaxOrderDelay is the longest time after which the platform carries out an order that got no response.
+	MaxOrderDelay = 12 * time.Second
 )
 
 // Dispatcher is the part of the dispatcher that the planner uses.
@@ -53,11 +55,13 @@
 
 // machineState is the state of a machine that is drained for its upkeep, or down for it.
 type machineState struct {
-	cordonedAt time.Duration
-	ordered    bool          // the upkeep was ordered, by a former dispatcher maybe; otherwise the server is being drained
-	orderedAt  time.Duration // when the order was last decided
-	accepted   bool          // the platform has accepted the order
-	server     string        // the server that is drained, and ends with the order
+	cordonedAt   time.Duration
+	ordered      bool          // the upkeep was ordered, by a former dispatcher maybe; otherwise the server is being drained
+	orderedAt    time.Duration // when the order was last decided
+	accepted     bool          // the platform has accepted the order
+	former       bool          // the order is one of a former dispatcher, of which nothing else is known
+	unansweredAt time.Duration // when the last order was known to have no answer; 0 if all had one
+	server       string        // the server that is drained, and ends with the order
 }
 
 // wave is the state of one wave.
@@ -105,7 +109,7 @@
 		}
 		for _, machine := range known.Ordered {
 			if !w.started[machine] && slices.Contains(request.Machines, machine) {
-				w.inProgress[machine] = &machineState{ordered: true}
+				w.inProgress[machine] = &machineState{ordered: true, former: true}
 			}
 		}
 		p.waves[request.Number] = w
@@ -383,9 +387,21 @@
 	}
 }
 
-// MarkRefused records that an order had no effect, so that the upkeep of the machine is planned again.
-func (p *Planner) MarkRefused(wave int64, machine string) {
-	if w := p.waves[wave]; w != nil {
+// MarkUnanswered records that an order has had no answer, so that it may be carried out until MaxOrderDelay after now.
+func (p *Planner) MarkUnanswered(wave int64, machine string, now time.Duration) {
+	if w := p.waves[wave]; w != nil && w.inProgress[machine] != nil {
+		w.inProgress[machine].unansweredAt = now
+	}
+}
+
+// MarkRefused records that an order had no effect, so that the upkeep of the machine is planned again. If one before it had no answer and may still be carried
+// out, it is repeated instead.
+func (p *Planner) MarkRefused(wave int64, machine string, now time.Duration) {
+	w := p.waves[wave]
+	if w == nil || w.inProgress[machine] == nil {
+		return
+	}
+	if at := w.inProgress[machine].unansweredAt; at == 0 || now-at > MaxOrderDelay {
 		delete(w.inProgress, machine)
 	}
 }
@@ -425,6 +441,9 @@
 			if state == nil || !state.ordered || state.accepted {
 				continue
 			}
+			if state.former {
+				state.former, state.unansweredAt = false, now
+			}
 			m := machines[id]
 			if m.Up {
 				if m.Server != state.server {
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -280,3 +280,18 @@
 	assert.Empty(t, orders(p, 6*time.Second, list, d))
 	assert.Len(t, orders(p, 5*time.Second+drainPeriod, list, d), 1)
 }
+
+// TestRefusedRepetitionDoesNotSettleTheOrder guards against more machines down than a wave allows, because an order without an answer is carried out after its repetition was
+// refused, and against a wave that waits for a machine which is lost for good.
+func TestRefusedRepetitionDoesNotSettleTheOrder(t *testing.T) {
+	p, d := New(2*time.Second), &fakeDispatcher{}
+	p.AddWaves(requestWave(2, 1), noneStored)
+	require.Equal(t, []string{"m0"}, orders(p, time.Second, machines(2), d))
+	p.MarkUnanswered(1, "m0", time.Second)
+	require.Len(t, p.UnansweredOrders(3*time.Second, time.Second, machines(2), d), 1)
+	p.MarkRefused(1, "m0", 3*time.Second)
+	assert.Empty(t, orders(p, 4*time.Second, machines(2), d))
+	require.Len(t, p.UnansweredOrders(5*time.Second, time.Second, machines(2), d), 1, "it is repeated until it is settled")
+	p.MarkRefused(1, "m0", time.Second+MaxOrderDelay+1)
+	assert.Len(t, orders(p, time.Second+MaxOrderDelay+1, machines(2), d), 1)
+}
